--- /dev/null
+++ b/cmd/weldscale/config.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"weldscale/decide"
+	"weldscale/internal/engine"
+	"weldscale/internal/jobs"
+	"weldscale/internal/wire"
+)
+
+// This file owns the reading of the configuration. The settings are one type, read by one parser: the nested
+// JSON is flattened into the lines that the simulator sends. It must fail with one plain line.
+
+type config struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+
+	engine         engine.Config
+	classes        []string
+	extras         jobs.Extras
+	connectTimeout time.Duration
+	idleLimit      time.Duration
+}
+
+// load reads the file that GW_CONFIG names; the other variables win over it.
+func load(getenv func(string) string) (*config, error) {
+	path := getenv("GW_CONFIG")
+	if path == "" {
+		return nil, errors.New("config: GW_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	c := new(config)
+	if err := json.Unmarshal(text, c); err != nil {
+		return nil, fmt.Errorf("config: %s: %w", path, err)
+	}
+	for name, field := range map[string]*string{"GW_NAME": &c.Name, "GW_LISTEN": &c.Listen, "GW_DISCOVERY": &c.Discovery} {
+		if v := getenv(name); v != "" {
+			*field = v
+		}
+	}
+	if c.Listen == "" || c.Discovery == "" {
+		return nil, errors.New("config: listen or discovery is missing")
+	}
+	if c.Limits.Sockets < 64 || c.Limits.MemoryMB < 16 {
+		return nil, errors.New("config: limits: sockets or memory_mb is missing or too small")
+	}
+	if c.engine.Seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("config: seed: %q is not a hexadecimal number", c.Seed)
+	}
+	if len(c.Known) == 0 {
+		c.Known = json.RawMessage("{}")
+	}
+	return c, c.readSettings()
+}
+
+func (c *config) readSettings() error {
+	values, err := flatten(c.Settings)
+	if err != nil {
+		return fmt.Errorf("config: settings: %w", err)
+	}
+	var text strings.Builder
+	for key, value := range values {
+		fmt.Fprintf(&text, "%s=%s\n", key, value)
+	}
+	if c.engine.Settings, _, err = wire.ParseSettings([]byte(text.String())); err != nil {
+		return fmt.Errorf("config: %w", err)
+	}
+	names := func(key string) []string {
+		if values[key] == "" {
+			return nil
+		}
+		return strings.Split(values[key], ",")
+	}
+	c.engine.Zones, c.engine.Kinds = names("zones"), names("kinds")
+	for i := range c.engine.Settings.Classes {
+		c.classes = append(c.classes, values["classes."+strconv.Itoa(i)+".name"])
+	}
+	c.connectTimeout = span(values["limits.connect_timeout_us"], time.Second)
+	c.idleLimit = span(values["limits.conn_idle_us"], 10*time.Second)
+	extra := map[string]decide.Fields{"free_slots": decide.HasFreeSlots, "free_memory": decide.HasFreeMemory}
+	c.extras = jobs.Extras{X0: extra[values["family_info.report_x0"]], X1: extra[values["family_info.report_x1"]]}
+	return nil
+}
+
+// span reads microseconds; where they are absent or make no sense it is the default.
+func span(text string, otherwise time.Duration) time.Duration {
+	if us, err := strconv.ParseInt(text, 10, 64); err == nil && us > 0 {
+		return time.Duration(us) * time.Microsecond
+	}
+	return otherwise
+}
+
+// flatten turns nested JSON into the path=value form of the simulator's settings.
+func flatten(text []byte) (map[string]string, error) {
+	dec := json.NewDecoder(bytes.NewReader(text))
+	dec.UseNumber() // figures keep the form they have
+	var v map[string]any
+	if err := dec.Decode(&v); err != nil {
+		return nil, err
+	}
+	out := map[string]string{}
+	flattenInto(out, "", v)
+	return out, nil
+}
+
+var plain = strings.NewReplacer(" ", "_", ",", "_", "\n", "_", "\r", "_")
+
+func flattenInto(out map[string]string, path string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		if path != "" {
+			path += "."
+		}
+		for key, item := range v {
+			flattenInto(out, path+key, item)
+		}
+	case []any:
+		if slices.ContainsFunc(v, func(item any) bool { _, ok := item.(map[string]any); return ok }) {
+			out[path+".count"] = strconv.Itoa(len(v))
+			for i, item := range v {
+				flattenInto(out, path+"."+strconv.Itoa(i), item)
+			}
+			return
+		}
+		words := make([]string, len(v))
+		for i, item := range v {
+			words[i] = scalar(item)
+		}
+		out[path] = strings.Join(words, ",")
+	default:
+		out[path] = scalar(v)
+	}
+}
+
+func scalar(v any) string {
+	switch v := v.(type) {
+	case nil:
+		return ""
+	case string:
+		return plain.Replace(v)
+	default:
+		return fmt.Sprint(v)
+	}
+}
--- /dev/null
+++ b/cmd/weldscale/main.go
@@ -0,0 +1,121 @@
+// Command weldscale is one scheduler: it takes jobs from clients over HTTP and pushes each to a worker as the
+// decision module says. This file owns the wiring of the parts, the process's limits and its signals. It
+// must hold no behaviour that a part could hold.
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"weldscale/internal/engine"
+	"weldscale/internal/jobs"
+	"weldscale/internal/net"
+)
+
+const (
+	// quietFor is how long no client may have come before a stopping scheduler closes its door.
+	quietFor = 400 * time.Millisecond
+	// openFor is how long the door stays open at least: the front learns of the stop only by and by.
+	openFor = 600 * time.Millisecond
+)
+
+func main() {
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "weldscale:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	c, err := load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	// One core is ours. The second P lets the loop go on while the first waits in the poller's system call.
+	runtime.GOMAXPROCS(2)
+	debug.SetGCPercent(400) // live state is small; the limit below bounds what that lets pile up
+	debug.SetMemoryLimit(int64(c.Limits.MemoryMB) << 20 * 6 / 10)
+	if err := netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: os.Stderr}); err != nil {
+		return err
+	}
+
+	loop := engine.NewLoop()
+	e, err := engine.New(loop, c.engine)
+	if err != nil {
+		return err
+	}
+	driver := net.New(loop, net.Config{Descriptors: c.Limits.Sockets, ConnectTimeout: c.connectTimeout, IdleLimit: c.idleLimit})
+	server := jobs.NewServer(e, c.classes)
+	driver.Accepted = server.Serve
+	driver.ShedIdle = server.CloseIdle
+	driver.Counted = func(dials, failed, shed int) {
+		e.Counts.Dials += dials
+		e.Counts.DialsFailed += failed
+		e.Counts.Shed += shed
+	}
+	discovery := &jobs.Discovery{Engine: e, Dialer: driver, Addr: c.Discovery}
+	e.Use(&jobs.Workers{Engine: e, Dialer: driver, Extras: c.extras, Host: "app.svc"}, discovery)
+	if err := driver.Listen(c.Listen); err != nil {
+		return err
+	}
+	if err := discovery.Known(c.Known); err != nil {
+		return err
+	}
+	slog.Info("serving", "name", c.Name, "listen", c.Listen)
+
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	go func() {
+		for s := range signals {
+			loop.Post(func() {
+				if s == syscall.SIGUSR1 {
+					slog.Info("counters", "counts", e.Counts.String())
+					return
+				}
+				slog.Info("stopping", "signal", s.String(), "open", e.Open())
+				(&stop{loop: loop, e: e, driver: driver, server: server, since: time.Now()}).begin()
+			})
+		}
+	}()
+	loop.Run()
+	slog.Info("stopped", "open", e.Open(), "counts", e.Counts.String())
+	return nil
+}
+
+// stop is a shutdown under way: serve while clients still come, then answer what was taken, then exit.
+type stop struct {
+	loop   *engine.Loop
+	e      *engine.Engine
+	driver *net.Driver
+	server *jobs.Server
+	since  time.Time
+	closed bool
+}
+
+func (s *stop) begin() {
+	s.server.Closing()
+	s.check()
+}
+
+func (s *stop) check() {
+	if !s.closed && time.Since(s.since) >= openFor && time.Since(s.driver.LastAccept()) >= quietFor {
+		s.closed = true
+		s.driver.StopListening()
+		s.server.CloseIdle(1 << 30)
+	}
+	if s.closed && s.e.Open() == 0 {
+		// The last answers are with the system; the exit must not overtake their way there.
+		s.loop.After(100*time.Millisecond, s.loop.Stop)
+		return
+	}
+	s.loop.After(20*time.Millisecond, s.check)
+}
--- /dev/null
+++ b/internal/engine/counts.go
@@ -0,0 +1,42 @@
+package engine
+
+import (
+	"fmt"
+	"strings"
+
+	"weldscale/decide"
+)
+
+// Counts is what a scheduler has taken in, sent and answered since its start. It owns no decision; nothing
+// may depend on it but what people read.
+type Counts struct {
+	Taken, Served, Refused, Failed, Hangups int
+	BadRequests                             int // answered 4xx or 5xx without becoming a request
+	Pushes                                  int
+	Outcomes, Probes                        [decide.Moot + 1]int // by decide.Status
+	ListNews, ListFailed                    int
+	Dials, DialsFailed                      int
+	Shed                                    int // connections closed to stay within the descriptor budget
+}
+
+var statusNames = [...]string{"error", "served", "full", "timed_out", "connect_failed", "reset", "cancelled", "moot"}
+
+// String gives the counters as name=value words, those that are zero left out of the lists by outcome.
+func (c *Counts) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "taken=%d served=%d refused=%d failed=%d hangups=%d bad_requests=%d pushes=%d",
+		c.Taken, c.Served, c.Refused, c.Failed, c.Hangups, c.BadRequests, c.Pushes)
+	for _, l := range []struct {
+		name string
+		n    *[decide.Moot + 1]int
+	}{{"attempts", &c.Outcomes}, {"probes", &c.Probes}} {
+		for s, n := range l.n {
+			if n > 0 {
+				fmt.Fprintf(&b, " %s.%s=%d", l.name, statusNames[s], n)
+			}
+		}
+	}
+	fmt.Fprintf(&b, " list_news=%d list_failed=%d dials=%d dials_failed=%d shed=%d",
+		c.ListNews, c.ListFailed, c.Dials, c.DialsFailed, c.Shed)
+	return b.String()
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,388 @@
+// Package engine runs the decisions for one scheduler. It owns the Dispatcher, every open request and its
+// attempts, the names and addresses of the workers, and the counters. It sees to it that a request gets
+// exactly one final answer, that an attempt is sent only while it still may be, and that a shutdown loses
+// nothing. It must never know a protocol, touch a socket or decide where a job goes: clients, workers and
+// the worker list come through the small interfaces below, and all of it runs on the one Loop.
+package engine
+
+import (
+	"log/slog"
+	"time"
+
+	"weldscale/decide"
+)
+
+// Client is where one request came from. Exactly one of its methods is called, once, unless the client
+// has gone away first.
+type Client interface {
+	// Served answers with the result that a worker gave.
+	Served(result []byte)
+	// Refused answers that nothing was done and trying again is harmless, after the wait if there is one.
+	Refused(retryAfter time.Duration)
+	// Failed answers without a promise.
+	Failed()
+}
+
+// Workers sends to workers. It reports back by the methods of Attempt and Probe, at once or later.
+type Workers interface {
+	// Push sends a.Request to a.Worker. Just before the first byte it asks a.Sendable.
+	Push(a *Attempt)
+	// Cancel abandons an attempt: once it returns, nothing of it is out on an open connection.
+	Cancel(a *Attempt)
+	// Probe asks p.Worker for its load.
+	Probe(p *Probe)
+}
+
+// Directory asks for the worker list. It reports by Engine.Announce.
+type Directory interface {
+	Watch(on bool)
+	Reload()
+}
+
+// Worker is one worker as the list names it. Its address may change; its name and ID do not.
+type Worker struct {
+	ID    decide.WorkerID
+	Name  string
+	Addr  string
+	State decide.State
+	out   int // attempts and probes not yet ended
+}
+
+// Entry is a worker in news of the list.
+type Entry struct {
+	Name, Addr, Zone, Kind string
+	Cell                   int
+	State                  decide.State
+	Weight                 float64
+	StartedAt              decide.Time // 0: long ago
+}
+
+// Request is one request of a client, from its arrival to its final answer.
+type Request struct {
+	ID       uint32
+	GiveUpAt decide.Time
+	Payload  any // what the client's protocol hands to the workers'
+	client   Client
+	attempts []*Attempt
+	out      int // attempts not yet ended
+	open     bool
+}
+
+// Attempt is one push of a request to a worker.
+type Attempt struct {
+	Request *Request
+	Worker  *Worker
+	State   any // for Workers
+	n       int
+	sentAt  decide.Time
+	over    bool
+	e       *Engine
+	timer   *Timer
+}
+
+// Probe is one question for a worker's load.
+type Probe struct {
+	Worker *Worker
+	sentAt decide.Time
+	over   bool
+	e      *Engine
+}
+
+// Engine is one scheduler.
+type Engine struct {
+	*Loop
+	Counts Counts
+
+	d        *decide.Dispatcher
+	workers  Workers
+	list     Directory
+	zones    map[string]int
+	kinds    map[string]int
+	byName   map[string]*Worker
+	byID     map[decide.WorkerID]*Worker
+	nextID   decide.WorkerID
+	requests map[uint32]*Request // open, or with an attempt out
+	open     int
+	lastID   uint32
+	todo     []func() // actions the module has asked for and that are not carried out yet
+	running  bool
+	listed   bool // a list has come
+}
+
+// Config is what New needs besides the settings of the decisions.
+type Config struct {
+	Settings     decide.Settings
+	Seed         uint64
+	Zones, Kinds []string // in the order of the settings
+}
+
+// New returns an engine that knows no worker yet. Use sets the ways out.
+func New(loop *Loop, c Config) (*Engine, error) {
+	e := &Engine{Loop: loop, zones: numbered(c.Zones), kinds: numbered(c.Kinds), byName: map[string]*Worker{},
+		byID: map[decide.WorkerID]*Worker{}, requests: map[uint32]*Request{}}
+	var err error
+	e.d, err = decide.New(c.Settings, c.Seed, actions{e})
+	return e, err
+}
+
+func numbered(names []string) map[string]int {
+	m := make(map[string]int, len(names))
+	for i, name := range names {
+		m[name] = i
+	}
+	return m
+}
+
+// Use sets the ways to the workers and to the worker list.
+func (e *Engine) Use(w Workers, d Directory) { e.workers, e.list = w, d }
+
+// Open returns how many requests wait for their final answer.
+func (e *Engine) Open() int { return e.open }
+
+// Ready reports whether a worker list is at hand.
+func (e *Engine) Ready() bool { return e.listed }
+
+// Submit takes a request of a client. The job's ID is set here.
+func (e *Engine) Submit(j decide.Job, payload any, c Client) *Request {
+	for e.lastID++; e.lastID == 0 || e.requests[e.lastID] != nil; e.lastID++ {
+	}
+	j.ID = e.lastID
+	r := &Request{ID: j.ID, GiveUpAt: j.GiveUpAt, Payload: payload, client: c, open: true}
+	e.requests[r.ID] = r
+	e.open++
+	e.Counts.Taken++
+	e.call(func() { e.d.Arrive(e.Now(), j) })
+	return r
+}
+
+// Hangup takes in that the client has gone away.
+func (e *Engine) Hangup(r *Request) {
+	if r.open {
+		e.Counts.Hangups++
+		e.finish(r)
+		e.call(func() { e.d.Hangup(e.Now(), r.ID) })
+	}
+}
+
+// finish ends a request. Its attempts still report to the module, but no second answer can follow.
+func (e *Engine) finish(r *Request) {
+	r.open = false
+	e.open--
+	e.forget(r)
+}
+
+func (e *Engine) forget(r *Request) {
+	if !r.open && r.out == 0 {
+		delete(e.requests, r.ID)
+	}
+}
+
+// Announce takes in news of the worker list.
+func (e *Engine) Announce(kind decide.ListKind, entries []Entry) {
+	list := make([]decide.Worker, 0, len(entries))
+	if kind == decide.ListFull || kind == decide.ListCached {
+		for _, w := range e.byName {
+			w.State = decide.Gone // unless it is named below
+		}
+	}
+	for _, in := range entries {
+		w := e.byName[in.Name]
+		if w == nil {
+			e.nextID++
+			w = &Worker{ID: e.nextID, Name: in.Name}
+			e.byName[in.Name], e.byID[w.ID] = w, w
+		}
+		if in.Addr != "" {
+			w.Addr = in.Addr
+		}
+		w.State = in.State
+		list = append(list, decide.Worker{ID: w.ID, Zone: index(e.zones, in.Zone), Kind: index(e.kinds, in.Kind),
+			Cell: in.Cell, State: in.State, Weight: in.Weight, StartedAt: in.StartedAt})
+	}
+	if kind == decide.ListFailed {
+		e.Counts.ListFailed++
+	} else {
+		e.Counts.ListNews++
+		e.listed = true
+	}
+	e.call(func() { e.d.Announce(e.Now(), kind, list) })
+	for name, w := range e.byName { // names come and go for as long as the scheduler runs
+		if w.State == decide.Gone && w.out == 0 {
+			delete(e.byName, name)
+			delete(e.byID, w.ID)
+		}
+	}
+}
+
+func index(m map[string]int, name string) int {
+	if i, ok := m[name]; ok {
+		return i
+	}
+	return -1
+}
+
+// Each calls f for every worker that takes jobs.
+func (e *Engine) Each(f func(*Worker)) {
+	for _, w := range e.byName {
+		if w.State == decide.Ready {
+			f(w)
+		}
+	}
+}
+
+// Sendable reports whether the attempt may still be sent: connecting takes time, and meanwhile the worker
+// may have been told to be draining or gone, the request answered, or its time run out.
+func (a *Attempt) Sendable() bool {
+	return !a.over && a.Request.open && a.Worker.State == decide.Ready && a.Left() > 0
+}
+
+// Left is the time that the client will still wait.
+func (a *Attempt) Left() time.Duration {
+	return time.Duration(a.Request.GiveUpAt-a.e.Now()) * time.Microsecond
+}
+
+// Started takes in that the job runs.
+func (a *Attempt) Started() {
+	if !a.over {
+		a.e.call(func() { a.e.d.Note(a.e.Now(), a.Request.ID, a.n, decide.NoteStarted, 0) })
+	}
+}
+
+// Progress takes in the share that is done.
+func (a *Attempt) Progress(share float64) {
+	if !a.over {
+		a.e.call(func() { a.e.d.Note(a.e.Now(), a.Request.ID, a.n, decide.NoteProgress, share) })
+	}
+}
+
+// End takes in how the attempt ended; the result is that of a Served one. Only the first call counts.
+func (a *Attempt) End(s decide.Status, result []byte, report decide.Report) {
+	if a.over {
+		return
+	}
+	e, r := a.e, a.Request
+	a.over = true
+	a.timer.Stop()
+	r.out--
+	a.Worker.out--
+	e.Counts.Outcomes[s]++
+	if s == decide.Served && r.open {
+		e.finish(r)
+		e.Counts.Served++
+		r.client.Served(result)
+	}
+	now := e.Now()
+	e.call(func() {
+		e.d.Outcome(now, decide.Outcome{Job: r.ID, Attempt: a.n, Worker: a.Worker.ID, Status: s, Closed: !r.open,
+			Latency: now - a.sentAt, Report: report})
+	})
+	e.forget(r)
+}
+
+// End takes in the answer to a probe, or that none came. Only the first call counts.
+func (p *Probe) End(s decide.Status, report decide.Report) {
+	if p.over {
+		return
+	}
+	p.over = true
+	p.Worker.out--
+	p.e.Counts.Probes[s]++
+	now := p.e.Now()
+	p.e.call(func() { p.e.d.ProbeResult(now, p.Worker.ID, s, now-p.sentAt, report) })
+}
+
+// call makes a call of the module and then carries out what it asked for, in order. An action may lead to
+// further calls; none is made while the module is still at work.
+func (e *Engine) call(f func()) {
+	if e.running {
+		e.todo = append(e.todo, f)
+		return
+	}
+	e.running = true
+	f()
+	for len(e.todo) > 0 {
+		next := e.todo[0]
+		e.todo = e.todo[1:]
+		next()
+	}
+	e.todo, e.running = nil, false
+}
+
+// actions queues what the module asks for.
+type actions struct{ e *Engine }
+
+func (x actions) do(f func()) { x.e.todo = append(x.e.todo, f) }
+
+func (x actions) Push(id uint32, worker decide.WorkerID, timeout decide.Time) {
+	x.do(func() {
+		e := x.e
+		r, w := e.requests[id], e.byID[worker]
+		if r == nil || w == nil {
+			slog.Error("push of a request or to a worker that is not known", "request", id, "worker", worker)
+			return
+		}
+		a := &Attempt{Request: r, Worker: w, n: len(r.attempts), sentAt: e.Now(), e: e}
+		r.attempts = append(r.attempts, a)
+		r.out++
+		w.out++
+		e.Counts.Pushes++
+		a.timer = e.After(time.Duration(timeout)*time.Microsecond, func() {
+			e.workers.Cancel(a)
+			a.End(decide.TimedOut, nil, decide.Report{})
+		})
+		e.workers.Push(a)
+	})
+}
+
+func (x actions) Probe(worker decide.WorkerID) {
+	x.do(func() {
+		if w := x.e.byID[worker]; w != nil {
+			w.out++
+			x.e.workers.Probe(&Probe{Worker: w, sentAt: x.e.Now(), e: x.e})
+		}
+	})
+}
+
+func (x actions) Cancel(id uint32, n int) {
+	x.do(func() {
+		if r := x.e.requests[id]; r != nil && n >= 0 && n < len(r.attempts) && !r.attempts[n].over {
+			x.e.workers.Cancel(r.attempts[n])
+			r.attempts[n].End(decide.Cancelled, nil, decide.Report{})
+		}
+	})
+}
+
+func (x actions) Refuse(id uint32, retryAfter decide.Time) {
+	x.do(func() {
+		if r := x.e.requests[id]; r != nil && r.open {
+			x.e.finish(r)
+			x.e.Counts.Refused++
+			r.client.Refused(time.Duration(retryAfter) * time.Microsecond)
+		}
+	})
+}
+
+func (x actions) Fail(id uint32) {
+	x.do(func() {
+		if r := x.e.requests[id]; r != nil && r.open {
+			x.e.finish(r)
+			x.e.Counts.Failed++
+			r.client.Failed()
+		}
+	})
+}
+
+func (x actions) Watch(on bool) { x.do(func() { x.e.list.Watch(on) }) }
+func (x actions) Reload()       { x.do(x.e.list.Reload) }
+
+func (x actions) Wake(after decide.Time, token uint64) {
+	x.do(func() {
+		x.e.After(time.Duration(after)*time.Microsecond, func() {
+			x.e.call(func() { x.e.d.Wake(x.e.Now(), token) })
+		})
+	})
+}
+
+// Tell is not carried out: the protocol gives schedulers no way to talk to each other, and the settings
+// say so to the module.
+func (x actions) Tell(int, []byte) {}
--- /dev/null
+++ b/internal/engine/loop.go
@@ -0,0 +1,150 @@
+package engine
+
+import (
+	"time"
+
+	"weldscale/decide"
+)
+
+// This file owns time: the clock, the timer wheel and the one loop on which everything of a scheduler runs.
+// Other goroutines hand it work with Post and touch nothing else. It must never block on anything but its
+// own queue, and nothing that runs on it may.
+
+// tickSpan is the coarseness of all timers. The decisions were tuned on ticks of 4 ms; half of that keeps
+// a timer's error under what the network itself adds.
+const tickSpan = 2 * time.Millisecond
+
+const wheelSlots = 1024 // about two seconds a turn
+
+// Timer is one entry of the wheel.
+type Timer struct {
+	due  int64 // tick
+	fire func()
+	next *Timer
+	prev **Timer
+}
+
+// Stop takes a timer back. Stopping one that is nil, stopped or fired does nothing.
+func (t *Timer) Stop() {
+	if t != nil && t.prev != nil {
+		*t.prev = t.next
+		if t.next != nil {
+			t.next.prev = t.prev
+		}
+		t.prev, t.next = nil, nil
+	}
+}
+
+// wheel holds timers in slots by their tick; one that is further off than a turn waits its turns out.
+type wheel struct {
+	slots [wheelSlots]*Timer
+	now   int64 // all ticks up to this one have fired
+}
+
+func (w *wheel) add(due int64, fire func()) *Timer {
+	t := &Timer{due: max(due, w.now+1), fire: fire}
+	w.link(t)
+	return t
+}
+
+func (w *wheel) link(t *Timer) {
+	head := &w.slots[t.due%wheelSlots]
+	t.next, t.prev = *head, head
+	if t.next != nil {
+		t.next.prev = &t.next
+	}
+	*head = t
+}
+
+// advance fires what is due up to the tick, in order of ticks. A timer set meanwhile fires in a later call.
+func (w *wheel) advance(tick int64) {
+	if tick-w.now > wheelSlots { // after a long stall one turn sees every slot
+		w.now = tick - wheelSlots
+	}
+	for w.now < tick {
+		w.now++
+		var due *Timer // in the order they were set
+		for t := w.slots[w.now%wheelSlots]; t != nil; {
+			next := t.next
+			if t.due <= w.now {
+				t.Stop()
+				t.next, due = due, t
+			}
+			t = next
+		}
+		for due != nil {
+			t := due
+			due, t.next = t.next, nil
+			t.fire()
+		}
+	}
+}
+
+// next returns the first tick with a timer in its slot, at most a turn ahead, and whether there is one.
+func (w *wheel) next() (int64, bool) {
+	for i := int64(1); i <= wheelSlots; i++ {
+		if w.slots[(w.now+i)%wheelSlots] != nil {
+			return w.now + i, true
+		}
+	}
+	return 0, false
+}
+
+// Loop runs what it is given, one at a time. Its clock is monotonic and starts at the wall clock's reading,
+// so that a wall time told by others (a worker's last start) is a moment of this clock as it stands, and
+// the same wall time always the same moment.
+type Loop struct {
+	queue chan func()
+	start time.Time
+	wheel wheel
+	quit  bool
+	lag   time.Duration // the longest a piece of work has kept the loop
+}
+
+// NewLoop returns a loop that does not run yet.
+func NewLoop() *Loop {
+	return &Loop{queue: make(chan func(), 4096), start: time.Now()}
+}
+
+// Now is the present time in microseconds.
+func (l *Loop) Now() decide.Time {
+	return l.start.UnixMicro() + int64(time.Since(l.start)/time.Microsecond)
+}
+
+// Post hands work to the loop from another goroutine; it waits while the queue is full. Code on the loop
+// must not call it.
+func (l *Loop) Post(f func()) { l.queue <- f }
+
+// After calls f on the loop once the span has passed. Only for code on the loop.
+func (l *Loop) After(span time.Duration, f func()) *Timer {
+	at := time.Since(l.start) + max(0, span)
+	return l.wheel.add(int64((at+tickSpan-1)/tickSpan), f)
+}
+
+// Stop ends Run after the work at hand. Only for code on the loop.
+func (l *Loop) Stop() { l.quit = true }
+
+// Run works until Stop.
+func (l *Loop) Run() {
+	alarm := time.NewTimer(time.Hour)
+	defer alarm.Stop()
+	armed := int64(-1)
+	for !l.quit {
+		if tick, ok := l.wheel.next(); !ok {
+			alarm.Stop()
+			armed = -1
+		} else if tick != armed {
+			alarm.Reset(time.Until(l.start.Add(time.Duration(tick) * tickSpan)))
+			armed = tick
+		}
+		select {
+		case f := <-l.queue:
+			began := time.Now()
+			f()
+			l.lag = max(l.lag, time.Since(began))
+		case <-alarm.C:
+			armed = -1
+		}
+		l.wheel.advance(int64(time.Since(l.start) / tickSpan))
+	}
+}
--- /dev/null
+++ b/internal/http1/http1.go
@@ -0,0 +1,400 @@
+// Package http1 reads and writes HTTP/1.1 messages. It owns framing: start lines, header fields, bodies by
+// length, in chunks or up to the end, keep-alive, and the limits on all of these. A Parser is a state
+// machine that is fed bytes as they come, in pieces of any size. It must never touch a socket or a clock,
+// and never know what a message means to the program; anything whose framing is in doubt is an error here.
+package http1
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// The limits of a message.
+const (
+	MaxHead   = 16 << 10 // start line and header fields together
+	MaxFields = 100
+	MaxBody   = 64 << 10 // of a body that the parser collects
+	maxLine   = 1 << 10  // of a chunk's size line or a trailer field
+)
+
+// Error is a message that can't be read. Status is what a server answers it with.
+type Error struct {
+	Status int
+	Reason string
+}
+
+func (e *Error) Error() string { return e.Reason }
+
+func fault(status int, format string, args ...any) error {
+	return &Error{status, fmt.Sprintf(format, args...)}
+}
+
+// Field is one header field; its name is in lower case.
+type Field struct{ Name, Value string }
+
+// Message is a request or a response.
+type Message struct {
+	Method, Target string // of a request
+	Status         int    // of a response
+	Fields         []Field
+	Body           []byte // unless it goes to the parser's OnBody
+	KeepAlive      bool   // the connection may carry another message after this one
+}
+
+// Get returns the first field of that name, which must be in lower case, or "".
+func (m *Message) Get(name string) string {
+	for _, f := range m.Fields {
+		if f.Name == name {
+			return f.Value
+		}
+	}
+	return ""
+}
+
+type state uint8
+
+const (
+	inHead      state = iota
+	inBody            // by length
+	inRest            // up to the end of the connection
+	inChunkSize       // a chunk's size line
+	inChunk
+	inChunkEnd // the line end after a chunk
+	inTrailer
+	done
+	broken
+)
+
+// Parser reads one message at a time. Use NewRequestParser or NewResponseParser.
+type Parser struct {
+	// OnBody takes the pieces of a body as they come, in place of Message.Body; it must not keep them.
+	OnBody func([]byte)
+
+	Msg      Message
+	response bool
+	state    state
+	buf      []byte // of a head or line that is not complete
+	left     int64  // of the body or chunk
+	trailers int
+	err      error
+}
+
+// NewRequestParser returns a parser of a client's requests.
+func NewRequestParser() *Parser { return &Parser{} }
+
+// NewResponseParser returns a parser of the responses to requests other than HEAD and CONNECT.
+func NewResponseParser() *Parser { return &Parser{response: true} }
+
+// Feed takes in bytes up to the end of the message and returns how many it took and whether the message is
+// whole. After that, or after an error, only Reset goes on.
+func (p *Parser) Feed(b []byte) (n int, whole bool, err error) {
+	for n < len(b) && p.state != done && p.state != broken {
+		m, err := p.step(b[n:])
+		n += m
+		if err != nil {
+			p.state, p.err = broken, err
+		}
+	}
+	return n, p.state == done, p.err
+}
+
+// Reset makes ready for the next message.
+func (p *Parser) Reset() {
+	*p = Parser{OnBody: p.OnBody, response: p.response, buf: p.buf[:0]}
+}
+
+// Idle reports whether nothing of a message has come yet.
+func (p *Parser) Idle() bool { return p.state == inHead && len(p.buf) == 0 }
+
+// HeadDone reports whether the head is read and Msg's fields stand.
+func (p *Parser) HeadDone() bool { return p.state != inHead && p.state != broken }
+
+// End takes in the end of the connection and reports whether it completes the message.
+func (p *Parser) End() bool {
+	if p.state == inRest {
+		p.state = done
+	}
+	return p.state == done
+}
+
+func (p *Parser) step(b []byte) (int, error) {
+	switch p.state {
+	case inHead:
+		return p.head(b)
+	case inBody, inRest, inChunk:
+		return p.body(b)
+	default:
+		line, n, err := p.line(b)
+		if err != nil || line == nil {
+			return n, err
+		}
+		return n, p.chunkLine(string(line[:len(line)-2]))
+	}
+}
+
+var headEnd = []byte("\r\n\r\n")
+
+// head gathers bytes up to the empty line that ends the head.
+func (p *Parser) head(b []byte) (int, error) {
+	n := 0
+	if len(p.buf) == 0 { // empty lines before a message are passed over
+		for n < len(b) && (b[n] == '\r' || b[n] == '\n') {
+			n++
+		}
+		if n > 0 {
+			return n, nil
+		}
+	}
+	old := len(p.buf)
+	from := max(0, old-3)
+	p.buf = append(p.buf, b[:min(len(b), MaxHead+4-old)]...)
+	i := bytes.Index(p.buf[from:], headEnd)
+	if i < 0 {
+		if len(p.buf) > MaxHead {
+			return 0, fault(431, "head is longer than %d bytes", MaxHead)
+		}
+		return len(p.buf) - old, nil
+	}
+	end := from + i + 4
+	n = end - old
+	text := string(p.buf[:end-4])
+	p.buf = p.buf[:0]
+	return n, p.readHead(text)
+}
+
+func (p *Parser) readHead(text string) error {
+	start, rest, _ := strings.Cut(text, "\r\n")
+	minor, err := p.startLine(start)
+	if err != nil {
+		return err
+	}
+	for rest != "" {
+		var line string
+		line, rest, _ = strings.Cut(rest, "\r\n")
+		name, value, ok := strings.Cut(line, ":")
+		if !ok || !isToken(name) {
+			return fault(400, "malformed header field")
+		}
+		value = strings.Trim(value, " \t")
+		for i := 0; i < len(value); i++ {
+			if c := value[i]; c < ' ' && c != '\t' || c == 0x7f {
+				return fault(400, "control character in a header field")
+			}
+		}
+		if len(p.Msg.Fields) == MaxFields {
+			return fault(431, "more than %d header fields", MaxFields)
+		}
+		p.Msg.Fields = append(p.Msg.Fields, Field{strings.ToLower(name), value})
+	}
+	return p.framing(minor)
+}
+
+// startLine reads a request line or a status line and returns the minor version.
+func (p *Parser) startLine(line string) (minor byte, err error) {
+	version := line
+	if p.response {
+		var rest string
+		version, rest, _ = strings.Cut(line, " ")
+		code, _, _ := strings.Cut(rest, " ")
+		p.Msg.Status, err = strconv.Atoi(code)
+		if err != nil || len(code) != 3 || p.Msg.Status < 100 {
+			return 0, fault(502, "malformed status line")
+		}
+	} else {
+		parts := strings.Split(line, " ")
+		if len(parts) != 3 || !isToken(parts[0]) || !isTarget(parts[1]) {
+			return 0, fault(400, "malformed request line")
+		}
+		p.Msg.Method, p.Msg.Target, version = parts[0], parts[1], parts[2]
+	}
+	if len(version) != 8 || version[:5] != "HTTP/" || version[6] != '.' || version[7] < '0' || version[7] > '9' {
+		return 0, fault(400, "malformed version")
+	}
+	if version[5] != '1' {
+		return 0, fault(505, "version is not HTTP/1")
+	}
+	return version[7], nil
+}
+
+// framing decides from the fields how the body is delimited and whether the connection stays.
+func (p *Parser) framing(minor byte) error {
+	m := &p.Msg
+	m.KeepAlive = minor >= '1'
+	length, chunked := int64(-1), false
+	for _, f := range m.Fields {
+		switch f.Name {
+		case "content-length":
+			n, err := strconv.ParseUint(f.Value, 10, 62)
+			if err != nil || length >= 0 && length != int64(n) {
+				return fault(400, "malformed Content-Length")
+			}
+			length = int64(n)
+		case "transfer-encoding":
+			if chunked || !strings.EqualFold(f.Value, "chunked") {
+				return fault(501, "transfer coding is not chunked")
+			}
+			chunked = true
+		case "connection":
+			for word := range strings.SplitSeq(f.Value, ",") {
+				switch strings.ToLower(strings.Trim(word, " \t")) {
+				case "close":
+					m.KeepAlive = false
+				case "keep-alive":
+					m.KeepAlive = m.KeepAlive || minor == '0'
+				}
+			}
+		}
+	}
+	switch {
+	case chunked && (length >= 0 || minor == '0'):
+		return fault(400, "both a length and chunks") // a way to smuggle a request past a front
+	case p.response && m.Status < 200 && m.Status != 101:
+		p.Msg, p.state = Message{}, inHead // an interim response; the real one follows
+	case p.response && (m.Status == 204 || m.Status == 304):
+		p.state = done
+	case chunked:
+		p.state = inChunkSize
+	case length > 0:
+		if p.OnBody == nil && length > MaxBody {
+			return fault(413, "body is longer than %d bytes", MaxBody)
+		}
+		p.state, p.left = inBody, length
+	case length < 0 && p.response:
+		p.state, m.KeepAlive = inRest, false
+	default:
+		p.state = done
+	}
+	return nil
+}
+
+func (p *Parser) body(b []byte) (int, error) {
+	if p.state != inRest {
+		b = b[:min(int64(len(b)), p.left)]
+	}
+	if p.OnBody != nil {
+		p.OnBody(b)
+	} else {
+		if len(p.Msg.Body)+len(b) > MaxBody {
+			return 0, fault(413, "body is longer than %d bytes", MaxBody)
+		}
+		p.Msg.Body = append(p.Msg.Body, b...)
+	}
+	if p.state == inRest {
+		return len(b), nil
+	}
+	if p.left -= int64(len(b)); p.left == 0 {
+		if p.state == inChunk {
+			p.state = inChunkEnd
+		} else {
+			p.state = done
+		}
+	}
+	return len(b), nil
+}
+
+// line gathers bytes up to a line end. The line is nil while it is not complete.
+func (p *Parser) line(b []byte) (line []byte, n int, err error) {
+	n = len(b)
+	if i := bytes.IndexByte(b, '\n'); i >= 0 {
+		n = i + 1
+	}
+	if len(p.buf)+n > maxLine {
+		return nil, n, fault(400, "line among chunks is too long")
+	}
+	p.buf = append(p.buf, b[:n]...)
+	if p.buf[len(p.buf)-1] != '\n' {
+		return nil, n, nil
+	}
+	line, p.buf = p.buf, p.buf[:0]
+	if len(line) < 2 || line[len(line)-2] != '\r' {
+		return nil, n, fault(400, "bare line feed among chunks")
+	}
+	return line, n, nil
+}
+
+func (p *Parser) chunkLine(line string) error {
+	switch p.state {
+	case inChunkSize:
+		size, _, _ := strings.Cut(line, ";")
+		size = strings.TrimRight(size, " \t")
+		n, err := strconv.ParseUint(size, 16, 32)
+		if err != nil {
+			return fault(400, "malformed chunk size")
+		}
+		p.left, p.state = int64(n), inChunk
+		if n == 0 {
+			p.state = inTrailer
+		} else if p.OnBody == nil && int64(len(p.Msg.Body))+int64(n) > MaxBody {
+			return fault(413, "body is longer than %d bytes", MaxBody)
+		}
+	case inChunkEnd:
+		if line != "" {
+			return fault(400, "chunk runs past its size")
+		}
+		p.state = inChunkSize
+	case inTrailer: // trailer fields are passed over
+		if line == "" {
+			p.state = done
+		} else if p.trailers++; p.trailers > MaxFields {
+			return fault(431, "more than %d trailer fields", MaxFields)
+		}
+	}
+	return nil
+}
+
+func isToken(s string) bool {
+	for i := 0; i < len(s); i++ {
+		c := s[i]
+		if !('a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' ||
+			strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0) {
+			return false
+		}
+	}
+	return s != ""
+}
+
+func isTarget(s string) bool {
+	for i := 0; i < len(s); i++ {
+		if s[i] <= ' ' || s[i] == 0x7f {
+			return false
+		}
+	}
+	return s != "" && (s[0] == '/' || s == "*" || strings.HasPrefix(s, "http://"))
+}
+
+var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+	413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
+	500: "Internal Server Error", 501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable",
+	505: "HTTP Version Not Supported"}
+
+// AppendResponse appends a whole response with its length. Fields are written as they are given.
+func AppendResponse(b []byte, status int, keepAlive bool, body []byte, fields ...Field) []byte {
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(status), 10)
+	b = append(b, ' ')
+	b = append(b, reasons[status]...)
+	b = append(b, "\r\n"...)
+	if !keepAlive {
+		fields = append(fields, Field{"Connection", "close"})
+	}
+	return appendRest(b, body, true, fields)
+}
+
+// AppendRequest appends a whole request. A body of nil is left out with its length.
+func AppendRequest(b []byte, method, target string, body []byte, fields ...Field) []byte {
+	b = append(append(append(append(b, method...), ' '), target...), " HTTP/1.1\r\n"...)
+	return appendRest(b, body, body != nil, fields)
+}
+
+func appendRest(b, body []byte, length bool, fields []Field) []byte {
+	for _, f := range fields {
+		b = append(append(append(append(b, f.Name...), ": "...), f.Value...), "\r\n"...)
+	}
+	if length {
+		b = strconv.AppendInt(append(b, "Content-Length: "...), int64(len(body)), 10)
+		b = append(b, "\r\n"...)
+	}
+	return append(append(b, "\r\n"...), body...)
+}
--- /dev/null
+++ b/internal/jobs/jobs.go
@@ -0,0 +1,147 @@
+// Package jobs gives PROTOCOL's HTTP messages their meaning: a client's request, an attempt on a worker, a
+// probe, the watch on the worker list. It owns headers, paths, JSON forms and the mapping of what comes back
+// to outcomes. It must never open a socket (connections come from a Dialer and are fed bytes by the
+// driver), never resend anything by itself, and never choose a worker. All of it runs on the engine's loop.
+package jobs
+
+import (
+	"bytes"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"weldscale/decide"
+)
+
+// Conn is one connection. Its owner gives it a Handler; the driver calls that on the loop.
+type Conn interface {
+	SetHandler(Handler)
+	// Write sends the bytes; done, if not nil, is told on the loop how that went.
+	Write(b []byte, done func(WriteEnd))
+	// CloseAfterWrite closes once what was given to Write has gone out.
+	CloseAfterWrite()
+	// Close closes at once. The handler hears no more.
+	Close()
+}
+
+// Handler takes what a connection brings.
+type Handler interface {
+	Data([]byte)
+	// Closed says that the connection has ended, not by our Close.
+	Closed()
+}
+
+// WriteEnd tells how a write ended.
+type WriteEnd uint8
+
+// The ends of a write.
+const (
+	Written   WriteEnd = iota // the last byte has gone to the system
+	NotWholly                 // the last byte has surely not
+	Unsure                    // it may have
+)
+
+// Dialer hands out connections for one exchange each.
+type Dialer interface {
+	// Get calls ready with a connection, an idle one if there is one, or with nil if none came up in time.
+	// It may do so before it returns. The returned function gives up the wait.
+	Get(addr string, ready func(Conn)) (giveUp func())
+	// Put takes back a connection on which an exchange ended cleanly.
+	Put(addr string, c Conn)
+}
+
+// report is the load report in the names that sockets use.
+type report struct {
+	InFlight *float64 `json:"inflight"`
+	Queue    *float64 `json:"queue"`
+	Util     *float64 `json:"util"`
+	Latency  *float64 `json:"latency_ms"`
+	Served   *float64 `json:"qps"`
+	Errors   *float64 `json:"eps"`
+	X0       *float64 `json:"x0"`
+	X1       *float64 `json:"x1"`
+}
+
+// Extras says what a report's x0 and x1 mean here.
+type Extras struct{ X0, X1 decide.Fields }
+
+func (x Extras) read(text []byte) decide.Report {
+	var in report
+	var out decide.Report
+	if len(text) == 0 || json.Unmarshal(text, &in) != nil {
+		return out
+	}
+	take := func(v *float64, field decide.Fields) {
+		if v == nil {
+			return
+		}
+		switch field {
+		case decide.HasFreeSlots:
+			out.FreeSlots = *v
+		case decide.HasFreeMemory:
+			out.FreeMemory = *v
+		case decide.HasInFlight:
+			out.InFlight = *v
+		case decide.HasQueue:
+			out.Queue = *v
+		case decide.HasUtil:
+			out.Util = *v
+		case decide.HasErrors:
+			out.Errors = *v
+		case decide.HasServed:
+			out.Served = *v
+		case decide.HasLatency:
+			out.LatencyMS = *v
+		}
+		out.Has |= field
+	}
+	take(in.InFlight, decide.HasInFlight)
+	take(in.Queue, decide.HasQueue)
+	take(in.Util, decide.HasUtil)
+	take(in.Latency, decide.HasLatency)
+	take(in.Served, decide.HasServed)
+	take(in.Errors, decide.HasErrors)
+	take(in.X0, x.X0)
+	take(in.X1, x.X1)
+	return out
+}
+
+// unquoted is the text of a JSON string, or any other JSON value as it stands.
+func unquoted(raw json.RawMessage) []byte {
+	raw = bytes.TrimSpace(raw)
+	var s string
+	if len(raw) > 0 && raw[0] == '"' && json.Unmarshal(raw, &s) == nil {
+		return []byte(s)
+	}
+	return raw
+}
+
+// budget formats a span as X-Budget has it.
+func budget(left time.Duration) string {
+	return strconv.FormatInt(int64(max(left, time.Microsecond)/time.Microsecond), 10) + "u"
+}
+
+// call is what a client's request and a worker's attempt share: it passes through untouched.
+type call struct {
+	method, target, id, key string
+	body                    []byte
+}
+
+// limiter bounds how often something is logged: bad input must not fill the log.
+type limiter struct {
+	next    time.Time
+	dropped int
+}
+
+var logBad limiter // used on the loop only
+
+// Do calls f with the number of calls left out since the last one, at most once a second.
+func (l *limiter) Do(f func(dropped int)) {
+	now := time.Now()
+	if now.Before(l.next) {
+		l.dropped++
+		return
+	}
+	f(l.dropped)
+	l.next, l.dropped = now.Add(time.Second), 0
+}
--- /dev/null
+++ b/internal/jobs/worker.go
@@ -0,0 +1,300 @@
+package jobs
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"strconv"
+	"time"
+
+	"weldscale/decide"
+	"weldscale/internal/engine"
+	"weldscale/internal/http1"
+)
+
+// This file owns the workers' side: attempts and probes, and which outcome what comes back stands for. When
+// it is not sure that a request's last byte stayed here, it must say that the job may have run.
+
+const (
+	probeTimeout = 500 * time.Millisecond
+	tailWait     = time.Second // for the end of a response whose last line has come
+	maxResult    = 256 << 10   // one line of a worker
+)
+
+// Workers implements engine.Workers over HTTP.
+type Workers struct {
+	Engine *engine.Engine
+	Dialer Dialer
+	Extras Extras
+	Host   string // of the Host header
+}
+
+// exchange is one request and its response on one connection to a worker.
+type exchange struct {
+	w        *Workers
+	worker   *engine.Worker
+	addr     string
+	conn     Conn
+	giveUp   func() // of the wait for a connection
+	parser   *http1.Parser
+	written  bool
+	early    bool // closed before the write's end was known
+	over     bool
+	attempt  *engine.Attempt
+	probe    *engine.Probe
+	timer    *engine.Timer
+	line     []byte
+	result   []byte
+	status   decide.Status
+	report   decide.Report
+	lastLine bool // the line that ends the attempt has come
+}
+
+// Push implements engine.Workers.
+func (w *Workers) Push(a *engine.Attempt) {
+	x := &exchange{w: w, worker: a.Worker, addr: a.Worker.Addr, attempt: a, parser: http1.NewResponseParser()}
+	x.parser.OnBody = x.body
+	a.State = x
+	x.connect()
+}
+
+// Cancel implements engine.Workers.
+func (w *Workers) Cancel(a *engine.Attempt) {
+	if x, ok := a.State.(*exchange); ok {
+		x.drop()
+	}
+}
+
+// Probe implements engine.Workers.
+func (w *Workers) Probe(p *engine.Probe) {
+	x := &exchange{w: w, worker: p.Worker, addr: p.Worker.Addr, probe: p, parser: http1.NewResponseParser()}
+	x.timer = w.Engine.After(probeTimeout, func() { x.end(decide.TimedOut) })
+	x.connect()
+}
+
+func (x *exchange) connect() {
+	x.giveUp = x.w.Dialer.Get(x.addr, x.connected)
+}
+
+// connected sends the request, if it still may be sent.
+func (x *exchange) connected(c Conn) {
+	x.giveUp = nil
+	if x.over {
+		if c != nil {
+			x.w.Dialer.Put(x.addr, c)
+		}
+		return
+	}
+	if c == nil {
+		x.end(decide.ConnectFailed)
+		return
+	}
+	host := http1.Field{Name: "Host", Value: x.w.Host}
+	var b []byte
+	if a := x.attempt; a != nil {
+		if !a.Sendable() {
+			x.over = true
+			x.w.Dialer.Put(x.addr, c)
+			a.End(decide.Moot, nil, decide.Report{})
+			return
+		}
+		in := a.Request.Payload.(*call)
+		fields := []http1.Field{host, {Name: "X-Call-Id", Value: in.id}, {Name: "X-Budget", Value: budget(a.Left())}}
+		if in.key != "" {
+			fields = append(fields, http1.Field{Name: "Idempotency-Key", Value: in.key})
+		}
+		body := in.body
+		if body == nil {
+			body = []byte{}
+		}
+		b = http1.AppendRequest(nil, in.method, in.target, body, fields...)
+	} else {
+		b = http1.AppendRequest(nil, "GET", "/-/load", nil, host)
+	}
+	x.conn = c
+	c.SetHandler(x)
+	c.Write(b, x.wrote)
+}
+
+// wrote takes in how the write ended.
+func (x *exchange) wrote(end WriteEnd) {
+	switch {
+	case x.over:
+	case end == NotWholly:
+		x.end(decide.ConnectFailed)
+	case end == Unsure || x.early:
+		x.end(decide.Reset)
+	default:
+		x.written = true
+	}
+}
+
+// Data implements Handler.
+func (x *exchange) Data(b []byte) {
+	if x.over {
+		return
+	}
+	n, whole, err := x.parser.Feed(b)
+	if x.over {
+		return
+	}
+	if err != nil {
+		logBad.Do(func(dropped int) {
+			slog.Warn("bad response", "worker", x.worker.Name, "why", err, "unlogged", dropped)
+		})
+		x.end(decide.Reset)
+		return
+	}
+	if whole {
+		x.whole(n == len(b))
+	}
+}
+
+// Closed implements Handler.
+func (x *exchange) Closed() {
+	switch {
+	case x.over:
+	case x.parser.End():
+		x.whole(false)
+	case !x.written:
+		x.early = true // the end of the write tells whether the last byte had gone
+	default:
+		x.end(decide.Reset)
+	}
+}
+
+// body takes pieces of a response and reads its lines as they become whole.
+func (x *exchange) body(b []byte) {
+	if x.over {
+		return
+	}
+	if len(x.line)+len(b) > maxResult {
+		x.end(decide.Reset)
+		return
+	}
+	x.line = append(x.line, b...)
+	if x.probe != nil || x.parser.Msg.Status != 200 {
+		return // one object, read at the end
+	}
+	for !x.lastLine && !x.over {
+		i := bytes.IndexByte(x.line, '\n')
+		if i < 0 {
+			return
+		}
+		line := x.line[:i]
+		x.line = x.line[i+1:]
+		x.news(line)
+	}
+}
+
+// news reads one line about a job.
+func (x *exchange) news(line []byte) {
+	if len(bytes.TrimSpace(line)) == 0 {
+		return
+	}
+	var in struct {
+		ID     string          `json:"id"`
+		State  string          `json:"state"`
+		Share  float64         `json:"share"`
+		Result json.RawMessage `json:"result"`
+		Load   json.RawMessage `json:"load"`
+	}
+	if err := json.Unmarshal(line, &in); err != nil || in.ID != "" && in.ID != x.attempt.Request.Payload.(*call).id {
+		logBad.Do(func(dropped int) {
+			slog.Warn("bad line of a job", "worker", x.worker.Name, "unlogged", dropped)
+		})
+		x.end(decide.Reset)
+		return
+	}
+	switch in.State {
+	case "started":
+		x.attempt.Started()
+		return
+	case "running":
+		x.attempt.Progress(in.Share)
+		return
+	case "done":
+		x.status, x.result = decide.Served, unquoted(in.Result)
+	case "failed":
+		x.status = decide.Error
+	case "returned":
+		x.status = decide.Full
+	case "lost":
+		x.status = decide.Reset
+	default:
+		return // a state that this version does not know ends nothing
+	}
+	x.lastLine = true
+	if len(in.Load) > 0 {
+		x.report = x.w.Extras.read(in.Load)
+	}
+	if text := x.parser.Msg.Get("x-load-report"); text != "" && len(in.Load) == 0 {
+		x.report = x.w.Extras.read([]byte(text))
+	}
+	// The answer is known; the rest of the response only tells whether the connection can be kept.
+	x.timer = x.w.Engine.After(tailWait, x.drop)
+	x.attempt.End(x.status, x.result, x.report)
+}
+
+// whole takes in the end of the response. The connection is kept if nothing speaks against it.
+func (x *exchange) whole(clean bool) {
+	m := &x.parser.Msg
+	if !x.lastLine && x.attempt != nil && m.Status == 200 && len(x.line) > 0 {
+		x.news(x.line) // its line end was left out
+	}
+	if x.over {
+		return
+	}
+	if text := m.Get("x-load-report"); text != "" {
+		x.report = x.w.Extras.read([]byte(text))
+	}
+	switch {
+	case x.lastLine:
+	case m.Status == 200 && x.probe != nil:
+		x.status = decide.Served
+		if len(x.line) > 0 {
+			x.report = x.w.Extras.read(x.line)
+		}
+	case m.Status == 200:
+		x.status = decide.Reset // it ended before the last line
+	case (m.Status == 503 || m.Status == 504) && m.Get("x-rejected") == "1":
+		x.status = decide.Full
+	default:
+		x.status = decide.Error
+	}
+	if clean && m.KeepAlive && !x.early {
+		c := x.conn
+		x.conn = nil
+		x.w.Dialer.Put(x.addr, c)
+	}
+	x.end(x.status)
+}
+
+// end closes what is still open and reports, once.
+func (x *exchange) end(s decide.Status) {
+	if x.over {
+		return
+	}
+	x.drop()
+	if x.attempt != nil {
+		x.attempt.End(s, x.result, x.report)
+	} else {
+		x.probe.End(s, x.report)
+	}
+}
+
+// drop ends the exchange without a word to the engine.
+func (x *exchange) drop() {
+	x.over = true
+	x.timer.Stop()
+	if x.giveUp != nil {
+		x.giveUp()
+		x.giveUp = nil
+	}
+	if x.conn != nil {
+		x.conn.Close()
+		x.conn = nil
+	}
+}
+
+func itoa(n int64) string { return strconv.FormatInt(n, 10) }
--- /dev/null
+++ b/internal/net/net.go
@@ -0,0 +1,412 @@
+// Package net is the driver between sockets and the state machines that are fed their bytes, on
+// cloudwego/netpoll. It owns the listener, dialling, the pool of connections to workers and the budget of
+// descriptors. It must never read meaning into the bytes, never send a byte twice, and never make the loop
+// wait: what can block (a dial, a write that the peer does not take) runs on a goroutine of its own and
+// comes back to the loop by Post.
+package net
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"weldscale/internal/engine"
+	"weldscale/internal/jobs"
+)
+
+const (
+	reserved     = 32              // descriptors kept for the poller, the listener and the log
+	margin       = 64              // below the budget, where shedding idle connections starts
+	writeTimeout = 5 * time.Second // for a peer that takes no bytes
+	linger       = time.Second     // for a peer to take our last answer before the close
+	idlePerHost  = 8
+)
+
+// Config says within which bounds a Driver works.
+type Config struct {
+	Descriptors    int           // of the process
+	ConnectTimeout time.Duration // for a dial
+	IdleLimit      time.Duration // after which a worker closes an idle connection
+}
+
+// Driver owns the sockets of a scheduler. Its methods are for code on the loop.
+type Driver struct {
+	loop  *engine.Loop
+	c     Config
+	hosts map[string]*host
+	idle  []*Conn // idle connections to workers, the longest idle first
+	open  atomic.Int64
+	ln    netpoll.Listener
+
+	// Accepted takes over a client's connection.
+	Accepted func(jobs.Conn)
+	// ShedIdle closes up to n idle connections of clients and returns how many.
+	ShedIdle func(n int) int
+	// Counted is told of dials and of shed connections.
+	Counted func(dials, failed, shed int)
+
+	lastAccept time.Time
+}
+
+// host is what the driver keeps for one address.
+type host struct {
+	addr    string
+	idle    []*Conn // the latest used last
+	waiting []*waiter
+}
+
+type waiter struct{ ready func(jobs.Conn) }
+
+// New returns a driver for the loop.
+func New(loop *engine.Loop, c Config) *Driver {
+	return &Driver{loop: loop, c: c, hosts: map[string]*host{}}
+}
+
+// Conn is one connection. Only the loop uses it, but for what is under mu and the flags.
+type Conn struct {
+	d       *Driver
+	nc      netpoll.Connection
+	handler jobs.Handler
+	host    *host         // of a connection to a worker
+	retire  *engine.Timer // of an idle one
+	closed  atomic.Bool   // by us
+	ended   bool          // as the loop knows it
+
+	mu         sync.Mutex
+	out        []chunk
+	writing    bool
+	closeAfter bool
+}
+
+type chunk struct {
+	b    []byte
+	done func(jobs.WriteEnd)
+}
+
+// SetHandler implements jobs.Conn.
+func (c *Conn) SetHandler(h jobs.Handler) { c.handler = h }
+
+// Write implements jobs.Conn.
+func (c *Conn) Write(b []byte, done func(jobs.WriteEnd)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.out = append(c.out, chunk{b, done})
+	if !c.writing {
+		c.writing = true
+		go c.flush()
+	}
+}
+
+// flush writes what is queued; netpoll makes its caller wait while the peer takes nothing.
+func (c *Conn) flush() {
+	for {
+		c.mu.Lock()
+		if len(c.out) == 0 {
+			c.out, c.writing = nil, false
+			last := c.closeAfter
+			c.mu.Unlock()
+			if last {
+				c.d.loop.Post(c.finish)
+			}
+			return
+		}
+		next := c.out[0]
+		c.out = c.out[1:]
+		c.mu.Unlock()
+		end := c.send(next.b)
+		if next.done != nil {
+			c.d.loop.Post(func() { next.done(end) })
+		}
+	}
+}
+
+// send writes the bytes and tells whether the last of them can have left.
+func (c *Conn) send(b []byte) jobs.WriteEnd {
+	if !c.nc.IsActive() {
+		return jobs.NotWholly
+	}
+	_, err := c.nc.Write(b)
+	switch {
+	case err == nil:
+		return jobs.Written
+	case errors.Is(err, syscall.EPIPE), errors.Is(err, syscall.ECONNRESET):
+		return jobs.NotWholly // the system took none of it
+	default:
+		return jobs.Unsure
+	}
+}
+
+// CloseAfterWrite implements jobs.Conn.
+func (c *Conn) CloseAfterWrite() {
+	c.handler = discard{}
+	c.mu.Lock()
+	c.closeAfter = true
+	busy := c.writing
+	c.mu.Unlock()
+	if !busy {
+		c.finish()
+	}
+}
+
+// finish ends our sending and leaves the peer a moment to read: a close with bytes unread would reset the
+// connection and could take the last answer with it.
+func (c *Conn) finish() {
+	if c.ended {
+		return
+	}
+	if fd, ok := c.nc.(netpoll.Conn); ok {
+		_ = syscall.Shutdown(fd.Fd(), syscall.SHUT_WR) // it may be gone already
+	}
+	c.d.loop.After(linger, c.Close)
+}
+
+type discard struct{}
+
+func (discard) Data([]byte) {}
+func (discard) Closed()     {}
+
+// Close implements jobs.Conn.
+func (c *Conn) Close() {
+	if c.ended {
+		return
+	}
+	c.end()
+	c.closed.Store(true)
+	_ = c.nc.Close()
+}
+
+// end takes a connection out of the books.
+func (c *Conn) end() {
+	c.ended = true
+	c.d.forgetIdle(c)
+}
+
+// wire has the connection's bytes and end reported on the loop. The driver's count of open descriptors
+// falls when the system's does.
+func (c *Conn) wire() {
+	var once sync.Once
+	gone := func() {
+		once.Do(func() {
+			c.d.open.Add(-1)
+			if c.closed.Load() {
+				return
+			}
+			c.d.loop.Post(func() {
+				if !c.ended {
+					c.end()
+					c.handler.Closed()
+				}
+			})
+		})
+	}
+	_ = c.nc.SetWriteTimeout(writeTimeout)
+	_ = c.nc.AddCloseCallback(func(netpoll.Connection) error { gone(); return nil })
+	_ = c.nc.SetOnRequest(func(_ context.Context, nc netpoll.Connection) error {
+		c.read(nc)
+		return nil
+	})
+	if !c.nc.IsActive() { // it ended before the callback stood
+		_ = c.nc.Close()
+		gone()
+	}
+}
+
+func (c *Conn) read(nc netpoll.Connection) {
+	r := nc.Reader()
+	b, err := r.Next(r.Len())
+	if err != nil {
+		return
+	}
+	b = slices.Clone(b)
+	_ = r.Release()
+	c.d.loop.Post(func() {
+		if !c.ended {
+			c.handler.Data(b)
+		}
+	})
+}
+
+// Listen accepts clients at the address.
+func (d *Driver) Listen(addr string) error {
+	ln, err := netpoll.CreateListener("tcp", addr)
+	if err != nil {
+		return err
+	}
+	d.ln = ln
+	loop, err := netpoll.NewEventLoop(
+		func(ctx context.Context, nc netpoll.Connection) error { return nil },
+		netpoll.WithOnPrepare(func(nc netpoll.Connection) context.Context {
+			if d.open.Add(1) > int64(d.c.Descriptors-reserved) {
+				d.open.Add(-1)
+				_ = nc.Close()
+				return nil
+			}
+			c := &Conn{d: d, nc: nc, handler: discard{}}
+			d.loop.Post(func() {
+				d.lastAccept = time.Now()
+				d.makeRoom()
+				if !c.ended {
+					d.Accepted(c)
+				}
+			})
+			c.wire()
+			return nil
+		}))
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := loop.Serve(ln); err != nil {
+			slog.Info("listener closed", "why", err)
+		}
+	}()
+	return nil
+}
+
+// StopListening refuses new connections from here on.
+func (d *Driver) StopListening() {
+	// Not ln.Close: netpoll would close the descriptor twice, and the number may be another's by then.
+	_ = syscall.Shutdown(d.ln.Fd(), syscall.SHUT_RD)
+}
+
+// LastAccept is when the last client connected.
+func (d *Driver) LastAccept() time.Time { return d.lastAccept }
+
+// Get implements jobs.Dialer.
+func (d *Driver) Get(addr string, ready func(jobs.Conn)) (giveUp func()) {
+	h := d.host(addr)
+	if n := len(h.idle); n > 0 {
+		c := h.idle[n-1]
+		d.forgetIdle(c)
+		ready(c)
+		return func() {}
+	}
+	w := &waiter{ready}
+	h.waiting = append(h.waiting, w)
+	d.dial(h, w)
+	return func() { h.leave(w) }
+}
+
+func (d *Driver) host(addr string) *host {
+	h := d.hosts[addr]
+	if h == nil {
+		h = &host{addr: addr}
+		d.hosts[addr] = h
+	}
+	return h
+}
+
+// leave takes a waiter out and reports whether it was still waiting.
+func (h *host) leave(w *waiter) bool {
+	i := slices.Index(h.waiting, w)
+	if i < 0 {
+		return false
+	}
+	h.waiting = slices.Delete(h.waiting, i, i+1)
+	return true
+}
+
+// dial opens a connection on behalf of w, if it is not nil.
+func (d *Driver) dial(h *host, w *waiter) {
+	d.makeRoom()
+	if d.open.Load() >= int64(d.c.Descriptors-reserved) {
+		d.loop.After(0, func() { d.dialled(h, w, nil) })
+		return
+	}
+	d.open.Add(1)
+	go func() {
+		nc, err := netpoll.DialConnection("tcp", h.addr, d.c.ConnectTimeout)
+		if err != nil {
+			d.open.Add(-1)
+			nc = nil
+		}
+		d.loop.Post(func() { d.dialled(h, w, nc) })
+	}()
+}
+
+// dialled hands a new connection to whoever has waited longest. A dial that failed fails only its own.
+func (d *Driver) dialled(h *host, w *waiter, nc netpoll.Connection) {
+	if nc == nil {
+		d.Counted(1, 1, 0)
+		if w != nil && h.leave(w) {
+			w.ready(nil)
+		}
+		return
+	}
+	d.Counted(1, 0, 0)
+	c := &Conn{d: d, nc: nc, handler: discard{}, host: h}
+	c.wire()
+	d.Put(h.addr, c)
+}
+
+// Put implements jobs.Dialer.
+func (d *Driver) Put(addr string, in jobs.Conn) {
+	c := in.(*Conn)
+	h := d.host(addr)
+	c.mu.Lock()
+	busy := c.writing
+	c.mu.Unlock()
+	if c.ended || busy || !c.nc.IsActive() {
+		c.Close()
+		return
+	}
+	if len(h.waiting) > 0 {
+		w := h.waiting[0]
+		h.waiting = h.waiting[1:]
+		w.ready(c)
+		return
+	}
+	if len(h.idle) >= idlePerHost {
+		c.Close()
+		return
+	}
+	c.handler = idleHandler{c}
+	h.idle = append(h.idle, c)
+	d.idle = append(d.idle, c)
+	// A request on a connection that the worker is about to close may be lost with it, so ours ends first.
+	c.retire = d.loop.After(d.c.IdleLimit*7/10, c.Close)
+}
+
+// idleHandler watches over a connection that no exchange uses.
+type idleHandler struct{ c *Conn }
+
+func (i idleHandler) Data([]byte) { i.c.Close() } // nobody asked: what comes can't be trusted
+func (i idleHandler) Closed()     {}
+
+func (d *Driver) forgetIdle(c *Conn) {
+	if c.host == nil || c.retire == nil {
+		return
+	}
+	c.retire.Stop()
+	c.retire = nil
+	if i := slices.Index(c.host.idle, c); i >= 0 {
+		c.host.idle = slices.Delete(c.host.idle, i, i+1)
+	}
+	if i := slices.Index(d.idle, c); i >= 0 {
+		d.idle = slices.Delete(d.idle, i, i+1)
+	}
+}
+
+// makeRoom sheds idle connections once the budget of descriptors runs short: a worker's first, since a new
+// one only costs time, then those of clients.
+func (d *Driver) makeRoom() {
+	over := int(d.open.Load()) - (d.c.Descriptors - reserved - margin)
+	shed := 0
+	for ; over > 0 && len(d.idle) > 0; over-- {
+		d.idle[0].Close()
+		shed++
+	}
+	if over > 0 {
+		shed += d.ShedIdle(over)
+	}
+	if shed > 0 {
+		d.Counted(0, 0, shed)
+	}
+}
