Read the load figures of probe answers

Seen in a trace: every probe answer yielded an empty report, so the module saw no free slots and no load anywhere.

--- a/internal/jobs/worker.go
+++ b/internal/jobs/worker.go
@@ -50,11 +50,16 @@
 	lastLine bool // the line that ends the attempt has come
 }
 
+func (w *Workers) exchange(to *engine.Worker) *exchange {
+	x := &exchange{w: w, worker: to, addr: to.Addr, parser: http1.NewResponseParser()}
+	x.parser.OnBody = x.body // probes too: one that left it out once read every load as unknown
+	return x
+}
+
 // Push implements engine.Workers.
 func (w *Workers) Push(a *engine.Attempt) {
-	x := &exchange{w: w, worker: a.Worker, addr: a.Worker.Addr, attempt: a, parser: http1.NewResponseParser()}
-	x.parser.OnBody = x.body
-	a.State = x
+	x := w.exchange(a.Worker)
+	x.attempt, a.State = a, x
 	x.connect()
 }
 
@@ -67,7 +72,8 @@
 
 // Probe implements engine.Workers.
 func (w *Workers) Probe(p *engine.Probe) {
-	x := &exchange{w: w, worker: p.Worker, addr: p.Worker.Addr, probe: p, parser: http1.NewResponseParser()}
+	x := w.exchange(p.Worker)
+	x.probe = p
 	x.timer = w.Engine.After(probeTimeout, func() { x.end(decide.TimedOut) })
 	x.connect()
 }
