Read load figures by the names that the settings give them

Seen in raw probe bodies: this deployment sends {active, cpu, x0}, the settings' names, not PROTOCOL's inflight and util, which stay accepted.

--- a/cmd/weldscale/config.go
+++ b/cmd/weldscale/config.go
@@ -11,7 +11,6 @@
 	"strings"
 	"time"
 
-	"weldscale/decide"
 	"weldscale/internal/engine"
 	"weldscale/internal/jobs"
 	"weldscale/internal/wire"
@@ -35,7 +34,7 @@
 
 	engine         engine.Config
 	classes        []string
-	extras         jobs.Extras
+	reports        *jobs.Reports
 	connectTimeout time.Duration
 	idleLimit      time.Duration
 }
@@ -83,7 +82,8 @@
 	for key, value := range values {
 		fmt.Fprintf(&text, "%s=%s\n", key, value)
 	}
-	if c.engine.Settings, _, err = wire.ParseSettings([]byte(text.String())); err != nil {
+	var layout wire.Layout
+	if c.engine.Settings, layout, err = wire.ParseSettings([]byte(text.String())); err != nil {
 		return fmt.Errorf("config: %w", err)
 	}
 	names := func(key string) []string {
@@ -98,8 +98,7 @@
 	}
 	c.connectTimeout = span(values["limits.connect_timeout_us"], time.Second)
 	c.idleLimit = span(values["limits.conn_idle_us"], 10*time.Second)
-	extra := map[string]decide.Fields{"free_slots": decide.HasFreeSlots, "free_memory": decide.HasFreeMemory}
-	c.extras = jobs.Extras{X0: extra[values["family_info.report_x0"]], X1: extra[values["family_info.report_x1"]]}
+	c.reports = &jobs.Reports{Fields: names("report.fields"), Make: layout.Report}
 	return nil
 }
 
--- a/cmd/weldscale/main.go
+++ b/cmd/weldscale/main.go
@@ -63,7 +63,7 @@
 		e.Counts.Shed += shed
 	}
 	discovery := &jobs.Discovery{Engine: e, Dialer: driver, Addr: c.Discovery}
-	e.Use(&jobs.Workers{Engine: e, Dialer: driver, Extras: c.extras, Host: "app.svc"}, discovery)
+	e.Use(&jobs.Workers{Engine: e, Dialer: driver, Reports: c.reports, Host: "app.svc"}, discovery)
 	if err := driver.Listen(c.Listen); err != nil {
 		return err
 	}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"math"
 	"strconv"
 	"time"
 
@@ -50,60 +51,34 @@
 	Put(addr string, c Conn)
 }
 
-// report is the load report in the names that sockets use.
-type report struct {
-	InFlight *float64 `json:"inflight"`
-	Queue    *float64 `json:"queue"`
-	Util     *float64 `json:"util"`
-	Latency  *float64 `json:"latency_ms"`
-	Served   *float64 `json:"qps"`
-	Errors   *float64 `json:"eps"`
-	X0       *float64 `json:"x0"`
-	X1       *float64 `json:"x1"`
+// Reports reads load reports. On sockets a figure goes by the name that the settings give it or by the one
+// that PROTOCOL gives it; which one depends on the deployment.
+type Reports struct {
+	Fields []string                             // as the settings name them
+	Make   func(values []float32) decide.Report // from values in the order of Fields; NaN marks a missing one
 }
 
-// Extras says what a report's x0 and x1 mean here.
-type Extras struct{ X0, X1 decide.Fields }
+// sockets has PROTOCOL's names of the figures, by the settings' names.
+var sockets = map[string]string{"active": "inflight", "waiting": "queue", "cpu": "util", "avg_ms": "latency_ms",
+	"rps": "qps", "err_rps": "eps"}
 
-func (x Extras) read(text []byte) decide.Report {
-	var in report
-	var out decide.Report
-	if len(text) == 0 || json.Unmarshal(text, &in) != nil {
-		return out
+func (r *Reports) read(text []byte) decide.Report {
+	var in map[string]float32
+	if json.Unmarshal(text, &in) != nil {
+		return decide.Report{}
 	}
-	take := func(v *float64, field decide.Fields) {
-		if v == nil {
-			return
+	values := make([]float32, len(r.Fields))
+	for i, name := range r.Fields {
+		v, ok := in[name]
+		if !ok {
+			v, ok = in[sockets[name]]
 		}
-		switch field {
-		case decide.HasFreeSlots:
-			out.FreeSlots = *v
-		case decide.HasFreeMemory:
-			out.FreeMemory = *v
-		case decide.HasInFlight:
-			out.InFlight = *v
-		case decide.HasQueue:
-			out.Queue = *v
-		case decide.HasUtil:
-			out.Util = *v
-		case decide.HasErrors:
-			out.Errors = *v
-		case decide.HasServed:
-			out.Served = *v
-		case decide.HasLatency:
-			out.LatencyMS = *v
+		if !ok {
+			v = float32(math.NaN())
 		}
-		out.Has |= field
+		values[i] = v
 	}
-	take(in.InFlight, decide.HasInFlight)
-	take(in.Queue, decide.HasQueue)
-	take(in.Util, decide.HasUtil)
-	take(in.Latency, decide.HasLatency)
-	take(in.Served, decide.HasServed)
-	take(in.Errors, decide.HasErrors)
-	take(in.X0, x.X0)
-	take(in.X1, x.X1)
-	return out
+	return r.Make(values)
 }
 
 // unquoted is the text of a JSON string, or any other JSON value as it stands.
--- a/internal/jobs/worker.go
+++ b/internal/jobs/worker.go
@@ -23,10 +23,10 @@
 
 // Workers implements engine.Workers over HTTP.
 type Workers struct {
-	Engine *engine.Engine
-	Dialer Dialer
-	Extras Extras
-	Host   string // of the Host header
+	Engine  *engine.Engine
+	Dialer  Dialer
+	Reports *Reports
+	Host    string // of the Host header
 }
 
 // exchange is one request and its response on one connection to a worker.
@@ -232,10 +232,10 @@
 	}
 	x.lastLine = true
 	if len(in.Load) > 0 {
-		x.report = x.w.Extras.read(in.Load)
+		x.report = x.w.Reports.read(in.Load)
 	}
 	if text := x.parser.Msg.Get("x-load-report"); text != "" && len(in.Load) == 0 {
-		x.report = x.w.Extras.read([]byte(text))
+		x.report = x.w.Reports.read([]byte(text))
 	}
 	// The answer is known; the rest of the response only tells whether the connection can be kept.
 	x.timer = x.w.Engine.After(tailWait, x.drop)
@@ -252,14 +252,14 @@
 		return
 	}
 	if text := m.Get("x-load-report"); text != "" {
-		x.report = x.w.Extras.read([]byte(text))
+		x.report = x.w.Reports.read([]byte(text))
 	}
 	switch {
 	case x.lastLine:
 	case m.Status == 200 && x.probe != nil:
 		x.status = decide.Served
 		if len(x.line) > 0 {
-			x.report = x.w.Extras.read(x.line)
+			x.report = x.w.Reports.read(x.line)
 		}
 	case m.Status == 200:
 		x.status = decide.Reset // it ended before the last line
