--- a/cmd/weldscale/main.go
+++ b/cmd/weldscale/main.go
@@ -25,6 +25,8 @@
 	quietFor = 400 * time.Millisecond
 	// openFor is how long the door stays open at least: the front learns of the stop only by and by.
 	openFor = 600 * time.Millisecond
+	// lastWords is how long the last answers have to leave.
+	lastWords = 100 * time.Millisecond
 )
 
 func main() {
@@ -48,10 +50,46 @@
 		return err
 	}
 
+	s, err := start(c)
+	if err != nil {
+		return err
+	}
+	slog.Info("serving", "name", c.Name, "listen", s.driver.Addr())
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	go func() {
+		for got := range signals {
+			s.loop.Post(func() {
+				if got == syscall.SIGUSR1 {
+					slog.Info("counters", "counts", s.e.Counts.String())
+				} else {
+					slog.Info("stopping", "signal", got.String(), "open", s.e.Open())
+					s.stop()
+				}
+			})
+		}
+	}()
+	s.loop.Run()
+	slog.Info("stopped", "open", s.e.Open(), "counts", s.e.Counts.String())
+	return nil
+}
+
+// scheduler is the parts, wired.
+type scheduler struct {
+	loop     *engine.Loop
+	e        *engine.Engine
+	driver   *net.Driver
+	server   *jobs.Server
+	stopping time.Time // when the stop began
+	closed   bool      // the door is
+}
+
+// start wires the parts and listens. Nothing is served before the loop runs.
+func start(c *config) (*scheduler, error) {
 	loop := engine.NewLoop()
 	e, err := engine.New(loop, c.engine)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	driver := net.New(loop, net.Config{Descriptors: c.Limits.Sockets, ConnectTimeout: c.connectTimeout, IdleLimit: c.idleLimit})
 	server := jobs.NewServer(e, c.classes)
@@ -64,58 +102,31 @@
 	}
 	discovery := &jobs.Discovery{Engine: e, Dialer: driver, Addr: c.Discovery}
 	e.Use(&jobs.Workers{Engine: e, Dialer: driver, Reports: c.reports, Host: "app.svc"}, discovery)
-	if err := driver.Listen(c.Listen); err != nil {
-		return err
-	}
 	if err := discovery.Known(c.Known); err != nil {
-		return err
+		return nil, err
 	}
-	slog.Info("serving", "name", c.Name, "listen", c.Listen)
-
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	go func() {
-		for s := range signals {
-			loop.Post(func() {
-				if s == syscall.SIGUSR1 {
-					slog.Info("counters", "counts", e.Counts.String())
-					return
-				}
-				slog.Info("stopping", "signal", s.String(), "open", e.Open())
-				(&stop{loop: loop, e: e, driver: driver, server: server, since: time.Now()}).begin()
-			})
-		}
-	}()
-	loop.Run()
-	slog.Info("stopped", "open", e.Open(), "counts", e.Counts.String())
-	return nil
+	return &scheduler{loop: loop, e: e, driver: driver, server: server}, driver.Listen(c.Listen)
 }
 
-// stop is a shutdown under way: serve while clients still come, then answer what was taken, then exit.
-type stop struct {
-	loop   *engine.Loop
-	e      *engine.Engine
-	driver *net.Driver
-	server *jobs.Server
-	since  time.Time
-	closed bool
-}
-
-func (s *stop) begin() {
-	s.server.Closing()
-	s.check()
+// stop serves while clients still come, then answers what was taken, then ends the loop.
+func (s *scheduler) stop() {
+	if s.stopping.IsZero() {
+		s.stopping = time.Now()
+		s.server.Closing()
+		s.stopped()
+	}
 }
 
-func (s *stop) check() {
-	if !s.closed && time.Since(s.since) >= openFor && time.Since(s.driver.LastAccept()) >= quietFor {
+func (s *scheduler) stopped() {
+	if !s.closed && time.Since(s.stopping) >= openFor && time.Since(s.driver.LastAccept()) >= quietFor {
 		s.closed = true
 		s.driver.StopListening()
 		s.server.CloseIdle(1 << 30)
 	}
 	if s.closed && s.e.Open() == 0 {
 		// The last answers are with the system; the exit must not overtake their way there.
-		s.loop.After(100*time.Millisecond, s.loop.Stop)
+		s.loop.After(lastWords, s.loop.Stop)
 		return
 	}
-	s.loop.After(20*time.Millisecond, s.check)
+	s.loop.After(20*time.Millisecond, s.stopped)
 }
--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -270,6 +270,9 @@
 	return nil
 }
 
+// Addr is the address that Listen took.
+func (d *Driver) Addr() string { return d.ln.Addr().String() }
+
 // StopListening refuses new connections from here on.
 func (d *Driver) StopListening() {
 	// Not ln.Close: netpoll would close the descriptor twice, and the number may be another's by then.
