--- /dev/null
+++ b/cmd/weldscale/rules_test.go
@@ -0,0 +1,262 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// The four rules on real sockets. One scheduler runs against a stub of discovery and stub workers, each a
+// list of what it has seen and one function that answers. Nothing here is judged by how long it takes.
+
+const patience = 20 * time.Second
+
+const settings = `{"balancers":1,"zone":0,"zones":["here"],"kinds":["box"],"discovery":"subscribe","resolution_us":4000,
+ "limits":{"probes":true,"cancel":true,"max_attempts":4,"retry_after":true,"max_retry_after_us":2000000,
+  "connect_timeout_us":250000,"conn_idle_us":10000000},
+ "obligations":{"answer_slack_us":16000,"ask_within_us":10000000,"cold_from":0.3,"cold_us":600000000,
+  "drain_grace_us":300000,"overload_for_us":1500000,"tip_multiple":4.0},
+ "report":{"fields":["active","cpu","x0"],"how":"pull"},"family_info":{"report_x0":"free_slots","tells_start":true},
+ "classes":[
+  {"name":"view","effect":"read_like","aim_us":5000000,"deadline_us":9000000,"worth":1,"aim_stretch":2},
+  {"name":"send","effect":"non_idempotent","aim_us":5000000,"deadline_us":9000000,"worth":1,"aim_stretch":2}]}`
+
+// worker is a stub; answer gets the request and the connection to write on, and may keep it as long as it likes.
+type worker struct {
+	addr   string
+	answer func(r *http.Request, c net.Conn)
+	mu     sync.Mutex
+	jobs   []string // call ids, in order of arrival
+}
+
+func (w *worker) seen() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string{}, w.jobs...)
+}
+
+// say writes a response of chunks, one line each.
+func say(c net.Conn, lines ...string) {
+	fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for _, l := range lines {
+		fmt.Fprintf(c, "%x\r\n%s\n\r\n", len(l)+1, l)
+	}
+	fmt.Fprint(c, "0\r\n\r\n")
+}
+
+func done(r *http.Request, c net.Conn) {
+	id := r.Header.Get("X-Call-Id")
+	say(c, `{"id":"`+id+`","state":"started"}`, `{"id":"`+id+`","state":"done","result":"made of `+id+`"}`)
+}
+
+// listen serves HTTP by hand: net/http would hide what happens to a connection.
+func listen(t *testing.T, answer func(r *http.Request, c net.Conn)) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for in := bufio.NewReader(c); ; {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					body, _ := io.ReadAll(r.Body)
+					r.Body = io.NopCloser(strings.NewReader(string(body)))
+					answer(r, c)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func startWorker(t *testing.T, answer func(r *http.Request, c net.Conn)) *worker {
+	w := &worker{answer: answer}
+	w.addr = listen(t, func(r *http.Request, c net.Conn) {
+		if r.URL.Path == "/-/load" {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n"+`{"active":0,"cpu":0,"x0":4000}`)
+			return
+		}
+		w.mu.Lock()
+		w.jobs = append(w.jobs, r.Header.Get("X-Call-Id"))
+		w.mu.Unlock()
+		w.answer(r, c)
+	})
+	return w
+}
+
+// bench is one scheduler and its surroundings.
+type bench struct {
+	t    *testing.T
+	s    *scheduler
+	url  string
+	news chan string   // lists that a held watch answers with
+	end  chan struct{} // closed when the loop has ended
+}
+
+func entry(name string, w *worker, status string, since time.Time) string {
+	ms := int64(0)
+	if !since.IsZero() {
+		ms = since.UnixMilli()
+	}
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"here","type":"box","status":%q,"weight":1,"since_ms":%d}`,
+		name, w.addr, status, ms)
+}
+
+func startBench(t *testing.T, entries ...string) *bench {
+	b := &bench{t: t, news: make(chan string, 8), end: make(chan struct{})}
+	index := 7
+	discovery := listen(t, func(r *http.Request, c net.Conn) {
+		list := ""
+		if r.URL.Query().Get("hold_ms") != "1" {
+			list = <-b.news
+		}
+		index++
+		body := fmt.Sprintf(`{"index":%d,"snapshot":false,"endpoints":[%s]}`, index, list)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	})
+	t.Cleanup(func() { close(b.news) })
+	text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1",
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "settings": json.RawMessage(settings),
+		"known": json.RawMessage(`{"index":7,"snapshot":true,"endpoints":[` + strings.Join(entries, ",") + `]}`)})
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, text, 0o600))
+	c, err := load(func(key string) string { return map[string]string{"GW_CONFIG": path}[key] })
+	require.NoError(t, err)
+	b.s, err = start(c)
+	require.NoError(t, err)
+	b.url = "http://" + b.s.driver.Addr()
+	go func() { b.s.loop.Run(); close(b.end) }()
+	t.Cleanup(func() {
+		select {
+		case <-b.end:
+		default:
+			b.s.loop.Post(b.s.loop.Stop)
+			<-b.end
+		}
+	})
+	return b
+}
+
+// ask sends one request and returns status and body of its answer.
+func (b *bench) ask(id, class string, budget time.Duration) (int, string) {
+	r, err := http.NewRequest("POST", b.url+"/api/1", strings.NewReader("sheet"))
+	require.NoError(b.t, err)
+	r.Header.Set("X-Call-Id", id)
+	r.Header.Set("X-Call-Class", class)
+	r.Header.Set("X-Budget", fmt.Sprintf("%dm", budget.Milliseconds()))
+	resp, err := (&http.Client{Timeout: patience}).Do(r)
+	if !assert.NoError(b.t, err) {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	assert.NoError(b.t, err)
+	return resp.StatusCode, string(body)
+}
+
+// Rule 1: every request that was taken gets its one answer, whatever the worker does, and also across SIGTERM.
+func TestNoRequestIsDropped(t *testing.T) {
+	release := make(chan struct{})
+	w := startWorker(t, func(r *http.Request, c net.Conn) {
+		switch r.Header.Get("X-Call-Id") {
+		case "silent":
+		case "late":
+			<-release
+			done(r, c)
+		default:
+			done(r, c)
+		}
+	})
+	b := startBench(t, entry("a", w, "SERVING", time.Time{}))
+	status, body := b.ask("plain", "view", patience)
+	assert.Equal(t, 200, status)
+	assert.Equal(t, "made of plain", body)
+	status, _ = b.ask("silent", "send", 300*time.Millisecond)
+	assert.Equal(t, 500, status, "it may have run: no refusal")
+
+	answered := make(chan int)
+	go func() { status, _ := b.ask("late", "view", patience); answered <- status }()
+	require.Eventually(t, func() bool { return len(w.seen()) == 3 }, patience, time.Millisecond)
+	b.s.loop.Post(b.s.stop)
+	status, _ = b.ask("after the signal", "view", patience)
+	assert.Equal(t, 200, status, "clients are served while they still come")
+	close(release)
+	assert.Equal(t, 200, <-answered)
+	<-b.end
+	assert.Zero(t, b.s.e.Open())
+}
+
+// Rule 2: what may have run is sent again only if its class allows, and never while an attempt is out.
+func TestNoEffectTwice(t *testing.T) {
+	w := startWorker(t, func(r *http.Request, c net.Conn) { c.Close() })
+	b := startBench(t, entry("a", w, "SERVING", time.Time{}))
+	status, _ := b.ask("unsafe", "send", patience)
+	assert.Equal(t, 500, status)
+	assert.Equal(t, []string{"unsafe"}, w.seen())
+
+	turned := 0
+	w2 := startWorker(t, func(r *http.Request, c net.Conn) {
+		if turned++; turned == 1 {
+			fmt.Fprint(c, "HTTP/1.1 503 Full\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n")
+			return
+		}
+		done(r, c)
+	})
+	b = startBench(t, entry("a", w2, "SERVING", time.Time{}))
+	status, _ = b.ask("turned away", "send", patience)
+	assert.Equal(t, 200, status)
+	assert.Equal(t, []string{"turned away", "turned away"}, w2.seen(), "it never ran, so it may go again")
+}
+
+// Rule 3: nothing new goes to a worker once discovery has told that it drains.
+func TestNothingNewToADrainingWorker(t *testing.T) {
+	a, z := startWorker(t, done), startWorker(t, done)
+	b := startBench(t, entry("a", a, "SERVING", time.Time{}), entry("z", z, "SERVING", time.Time{}))
+	b.news <- entry("a", a, "DRAINING", time.Time{})
+	require.Eventually(t, func() bool {
+		told := make(chan int)
+		b.s.loop.Post(func() { n := 0; b.s.e.Each(func(string) { n++ }); told <- n })
+		return <-told == 1
+	}, patience, time.Millisecond)
+	before := len(a.seen())
+	for i := range 20 {
+		status, _ := b.ask(fmt.Sprint(i), "view", patience)
+		assert.Equal(t, 200, status)
+	}
+	assert.Len(t, a.seen(), before)
+	assert.Len(t, z.seen(), 20)
+}
+
+// Rule 4: a worker's start is a wall time; read as a moment of our clock it keeps a cold worker from work
+// that nobody has yet seen a warm one carry.
+func TestColdWorkerIsNotPushedOver(t *testing.T) {
+	cold, warm := startWorker(t, done), startWorker(t, done)
+	b := startBench(t, entry("c", cold, "SERVING", time.Now()))
+	status, _ := b.ask("1", "view", 500*time.Millisecond)
+	assert.Equal(t, 503, status, "the only worker is cold")
+	assert.Empty(t, cold.seen())
+	b = startBench(t, entry("w", warm, "SERVING", time.Now().Add(-time.Hour)))
+	status, _ = b.ask("2", "view", patience)
+	assert.Equal(t, 200, status)
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -221,11 +221,11 @@
 	return -1
 }
 
-// Each calls f for every worker that takes jobs.
-func (e *Engine) Each(f func(*Worker)) {
+// Each calls f with the address of every worker that takes jobs.
+func (e *Engine) Each(f func(addr string)) {
 	for _, w := range e.byName {
 		if w.State == decide.Ready {
-			f(w)
+			f(w.Addr)
 		}
 	}
 }
