Tell refused clients when to come back

The inherited giveUp passed a wait of zero, so no answer carried Retry-After. Refusals now advise 2 s, or the longest wait the settings say clients respect (limits.max_retry_after_us), and none where limits.retry_after is off. The new test fails with the zero put back.

--- a/decide/api.go
+++ b/decide/api.go
@@ -82,6 +82,7 @@
 	CanTell      bool // nodes may send each other messages
 	SecondCopies bool // a job may have two attempts out
 	MaxAttempts  int
+	MaxRetry     Time // the longest wait that clients respect after a refusal; 0: they are told none
 
 	MustAsk        bool // the worker list comes only when asked for
 	AskWithin      Time // with MustAsk: silence longer than this counts as having been told
@@ -217,7 +218,7 @@
 	Probe(worker WorkerID)
 	// Cancel stops waiting for an attempt, also after the job's final answer.
 	Cancel(job uint32, attempt int)
-	// Refuse is a final answer: not done, and trying again is harmless. retryAfter advises a wait; 0, as now, none.
+	// Refuse is a final answer: not done, and trying again is harmless. retryAfter advises a wait; 0, none.
 	Refuse(job uint32, retryAfter Time)
 	// Fail is a final answer without a promise.
 	Fail(job uint32)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -32,6 +32,7 @@
 	fullCounts   = 0.3        // being turned away says more of scarcity than one draw that finds no room
 	lateCounts   = 0.05       // so does a late start, less surely
 	slowFrom     = 2          // probes vary by less than this while all is well
+	comeBack     = 2000 * ms  // a refused job met a fleet that stayed full for all of its slack
 	busyRate     = 0.02       // a node draws tens of times a second when it is busy
 )
 
@@ -79,7 +80,7 @@
 		return
 	}
 	if in.Class < 0 || in.Class >= len(d.s.Classes) || in.GiveUpAt <= now+2*d.s.Tick {
-		d.act.Refuse(in.ID, 0)
+		d.act.Refuse(in.ID, min(comeBack, d.s.MaxRetry))
 		return
 	}
 	j := d.newJob(in)
@@ -394,7 +395,7 @@
 	d.act.Wake(wait, wakeRedraw|uint64(j.draw)<<32|uint64(j.ID))
 }
 
-// giveUp gives the final answer. A refusal promises that nothing ran.
+// giveUp gives the final answer, at once. A refusal promises that nothing ran, and says when to come back.
 func (d *Dispatcher) giveUp(j *job) {
 	refuse := true
 	for _, a := range j.attempts {
@@ -402,7 +403,7 @@
 		refuse = refuse && (safe || !a.mayHaveRun)
 	}
 	if refuse {
-		d.act.Refuse(j.ID, 0)
+		d.act.Refuse(j.ID, min(comeBack, d.s.MaxRetry))
 	} else {
 		d.act.Fail(j.ID)
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -413,3 +413,19 @@
 		t.Errorf("%d lines", lines)
 	}
 }
+
+// A refused client is told when to come back, within what the site's clients respect, and nothing where they
+// respect nothing: without it the answer, given at once, brings the client straight back to a full fleet.
+func TestARefusalSaysWhenToComeBack(t *testing.T) {
+	for _, respected := range []Time{0, 300 * ms, 60 * second} {
+		s := testSettings()
+		s.MaxRetry = respected
+		d, r := newNode(t, s) // no worker: nothing can be done
+		arrive(d, r, 0)
+		d.Wake(start+second, wakeGiveUp|1)
+		acts := r.take("refuse")
+		if want := min(comeBack, respected); len(acts) != 1 || acts[0].span != want {
+			t.Errorf("clients respect %d: %+v, want a wait of %d", respected, acts, want)
+		}
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -151,6 +151,9 @@
 		WorthByWork:    p.values["counted_by"] == "work",
 		PriceCross:     p.numOr("prices.cross_zone", 0),
 	}
+	if p.flagOr("limits.retry_after", false) {
+		s.MaxRetry = max(0, decide.Time(p.numOr("limits.max_retry_after_us", 0)))
+	}
 	switch how := p.values["discovery"]; how {
 	case "automatic":
 	case "subscribe":
