--- a/internal/engine/counts.go
+++ b/internal/engine/counts.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"weldscale/decide"
 )
@@ -16,7 +17,8 @@
 	Outcomes, Probes                        [decide.Moot + 1]int // by decide.Status
 	ListNews, ListFailed                    int
 	Dials, DialsFailed                      int
-	Shed                                    int // connections closed to stay within the descriptor budget
+	Shed                                    int           // connections closed to stay within the descriptor budget
+	Lag                                     time.Duration // the longest that one piece of work has kept the loop
 }
 
 var statusNames = [...]string{"error", "served", "full", "timed_out", "connect_failed", "reset", "cancelled", "moot"}
@@ -36,7 +38,7 @@
 			}
 		}
 	}
-	fmt.Fprintf(&b, " list_news=%d list_failed=%d dials=%d dials_failed=%d shed=%d",
-		c.ListNews, c.ListFailed, c.Dials, c.DialsFailed, c.Shed)
+	fmt.Fprintf(&b, " list_news=%d list_failed=%d dials=%d dials_failed=%d shed=%d loop_lag_ms=%.1f",
+		c.ListNews, c.ListFailed, c.Dials, c.DialsFailed, c.Shed, c.Lag.Seconds()*1e3)
 	return b.String()
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -120,6 +120,7 @@
 func New(loop *Loop, c Config) (*Engine, error) {
 	e := &Engine{Loop: loop, zones: numbered(c.Zones), kinds: numbered(c.Kinds), byName: map[string]*Worker{},
 		byID: map[decide.WorkerID]*Worker{}, requests: map[uint32]*Request{}}
+	loop.lag = &e.Counts.Lag
 	var err error
 	e.d, err = decide.New(c.Settings, c.Seed, actions{e})
 	return e, err
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,161 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"weldscale/decide"
+)
+
+func TestWheel(t *testing.T) {
+	for name, c := range map[string]struct {
+		due     []int64
+		stop    int // index of one to stop, or -1
+		advance []int64
+		want    string
+	}{
+		"in order of ticks":       {[]int64{5, 3, 4}, -1, []int64{10}, "[3 4 5]"},
+		"same tick, as set":       {[]int64{3, 3}, -1, []int64{3}, "[3 3]"},
+		"not before its tick":     {[]int64{3, 4}, -1, []int64{3}, "[3]"},
+		"due in the past":         {[]int64{-7}, -1, []int64{1}, "[-7]"},
+		"stopped":                 {[]int64{3, 3, 3}, 1, []int64{9}, "[3 3]"},
+		"waits its turns out":     {[]int64{3 + 2*wheelSlots}, -1, []int64{3, 3 + wheelSlots, 2 + 2*wheelSlots}, "[]"},
+		"fires after its turns":   {[]int64{3 + 2*wheelSlots}, -1, []int64{3, 3 + wheelSlots, 3 + 2*wheelSlots}, "[2051]"},
+		"nothing lost in a stall": {[]int64{3, 900, 3 * wheelSlots}, -1, []int64{5 * wheelSlots}, "3 of them"},
+	} {
+		var w wheel
+		fired := []int64{}
+		var timers []*Timer
+		for _, due := range c.due {
+			timers = append(timers, w.add(due, func() { fired = append(fired, due) }))
+		}
+		if c.stop >= 0 {
+			timers[c.stop].Stop()
+			timers[c.stop].Stop() // twice is harmless
+		}
+		for _, tick := range c.advance {
+			w.advance(tick)
+		}
+		if got := fmt.Sprint(fired); got != c.want {
+			assert.Equal(t, c.want, fmt.Sprintf("%d of them", len(fired)), "%s: %s", name, got)
+		}
+	}
+}
+
+func TestLoopRunsWorkAndTimers(t *testing.T) {
+	l := NewLoop()
+	order := ""
+	go l.Post(func() {
+		l.After(2*tickSpan, func() { order += "second "; l.Stop() })
+		l.After(0, func() { order += "first " })
+		l.After(time.Hour, func() { order += "never" })
+	})
+	l.Run()
+	assert.Equal(t, "first second ", order)
+}
+
+// fake is every way out of an engine.
+type fake struct {
+	e        *Engine
+	attempts []*Attempt
+	log      string
+}
+
+func (f *fake) Push(a *Attempt) { f.attempts = append(f.attempts, a); f.log += "push " }
+func (f *fake) Cancel(*Attempt) { f.log += "cancel " }
+func (f *fake) Probe(p *Probe) {
+	p.End(decide.Served, decide.Report{Has: decide.HasFreeSlots, FreeSlots: 4})
+}
+func (f *fake) Watch(bool)              {}
+func (f *fake) Reload()                 {}
+func (f *fake) Served(result []byte)    { f.log += "served:" + string(result) + " " }
+func (f *fake) Refused(w time.Duration) { f.log += "refused:" + w.String() + " " }
+func (f *fake) Failed()                 { f.log += "failed " }
+
+func newFake(t *testing.T) *fake {
+	e, err := New(NewLoop(), Config{Zones: []string{"here"}, Settings: decide.Settings{Nodes: 1, Zones: 1, CanProbe: true,
+		CanCancel: true, MaxAttempts: 4, ColdFrom: 0.3, ColdSpan: 1e6, FallMultiple: 4, FallSpan: 1e6, Tick: 4000,
+		MaxRetry: 1e6, Classes: []decide.Class{{Aim: 2e6, Deadline: 9e6, Stretch: 2, Kind: -1, Worth: 1},
+			{Effect: decide.Unsafe, Aim: 2e6, Deadline: 9e6, Stretch: 2, Kind: -1, Worth: 1}}}})
+	require.NoError(t, err)
+	f := &fake{e: e}
+	e.Use(f, f)
+	e.Announce(decide.ListCached, []Entry{{Name: "a", Zone: "here", State: decide.Ready}, {Name: "b", Zone: "elsewhere", State: decide.Ready}})
+	return f
+}
+
+func (f *fake) submit(class int) *Request {
+	return f.e.Submit(decide.Job{Class: class, GiveUpAt: f.e.Now() + 9e6}, nil, f)
+}
+
+// One final answer, whatever comes in whatever order, and an attempt that ends but once.
+func TestOneFinalAnswer(t *testing.T) {
+	end := func(s decide.Status) func(f *fake, r *Request) {
+		return func(f *fake, r *Request) { f.attempts[0].End(s, []byte("x"), decide.Report{}) }
+	}
+	hangup := func(f *fake, r *Request) { f.e.Hangup(r) }
+	for name, c := range map[string]struct {
+		class int
+		steps []func(f *fake, r *Request)
+		want  string
+	}{
+		"served":                 {0, []func(*fake, *Request){end(decide.Served)}, "push served:x "},
+		"served twice":           {0, []func(*fake, *Request){end(decide.Served), end(decide.Served)}, "push served:x "},
+		"reset after served":     {1, []func(*fake, *Request){end(decide.Served), end(decide.Reset)}, "push served:x "},
+		"client gone, then done": {0, []func(*fake, *Request){hangup, end(decide.Served)}, "push cancel "},
+		"gone twice":             {0, []func(*fake, *Request){hangup, hangup}, "push cancel "},
+		"unsafe reset":           {1, []func(*fake, *Request){end(decide.Reset)}, "push failed "},
+		"safe timed out":         {0, []func(*fake, *Request){end(decide.TimedOut)}, "push refused:1s "},
+	} {
+		f := newFake(t)
+		r := f.submit(c.class)
+		for _, step := range c.steps {
+			step(f, r)
+		}
+		assert.Equal(t, c.want, f.log, name)
+		assert.Zero(t, f.e.Open(), name)
+		assert.Empty(t, f.e.requests, "%s: nothing stays behind", name)
+	}
+}
+
+func TestIDsAreNotReusedWhileInUse(t *testing.T) {
+	f := newFake(t)
+	first := f.submit(0)
+	f.e.lastID = first.ID - 1 // as if the numbers had come round
+	assert.NotEqual(t, first.ID, f.submit(0).ID)
+	f.e.lastID = 1<<32 - 1
+	assert.NotZero(t, f.submit(0).ID)
+}
+
+// A name keeps its ID while its address changes, and departed names do not pile up.
+func TestNames(t *testing.T) {
+	f := newFake(t)
+	id := f.e.byName["a"].ID
+	f.e.Announce(decide.ListDelta, []Entry{{Name: "a", Addr: "new:1", Zone: "here", State: decide.Ready}})
+	assert.Equal(t, id, f.e.byName["a"].ID)
+	assert.Equal(t, "new:1", f.e.byName["a"].Addr)
+	r := f.submit(0)
+	w := f.attempts[0].Worker
+	for i := range 100 {
+		f.e.Announce(decide.ListFull, []Entry{{Name: fmt.Sprint(i), State: decide.Ready}})
+	}
+	assert.Len(t, f.e.byName, 2, "the last one, and the one with an attempt out")
+	assert.False(t, f.attempts[0].Sendable())
+	assert.Equal(t, w, f.e.byName[w.Name])
+	f.e.Hangup(r)
+	f.e.Announce(decide.ListDelta, nil)
+	assert.Len(t, f.e.byName, 1)
+	assert.Len(t, f.e.byID, 1)
+}
+
+func TestCounts(t *testing.T) {
+	f := newFake(t)
+	f.submit(0)
+	f.attempts[0].End(decide.Served, nil, decide.Report{})
+	assert.Contains(t, f.e.Counts.String(), "taken=1 served=1 refused=0 failed=0")
+	assert.Contains(t, f.e.Counts.String(), "attempts.served=1 probes.served=2 ")
+}
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -98,12 +98,12 @@
 	start time.Time
 	wheel wheel
 	quit  bool
-	lag   time.Duration // the longest a piece of work has kept the loop
+	lag   *time.Duration // the longest that a piece of work has kept the loop
 }
 
 // NewLoop returns a loop that does not run yet.
 func NewLoop() *Loop {
-	return &Loop{queue: make(chan func(), 4096), start: time.Now()}
+	return &Loop{queue: make(chan func(), 4096), lag: new(time.Duration), start: time.Now()}
 }
 
 // Now is the present time in microseconds.
@@ -141,7 +141,7 @@
 		case f := <-l.queue:
 			began := time.Now()
 			f()
-			l.lag = max(l.lag, time.Since(began))
+			*l.lag = max(*l.lag, time.Since(began))
 		case <-alarm.C:
 			armed = -1
 		}
--- /dev/null
+++ b/internal/jobs/jobs_test.go
@@ -0,0 +1,328 @@
+package jobs
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"weldscale/decide"
+	"weldscale/internal/engine"
+)
+
+// fakeConn keeps what is written. Writes end when the test says so.
+type fakeConn struct {
+	Conn
+	handler Handler
+	out     string
+	done    func(WriteEnd)
+	closed  bool
+}
+
+func (c *fakeConn) SetHandler(h Handler) { c.handler = h }
+func (c *fakeConn) Write(b []byte, done func(WriteEnd)) {
+	c.out += string(b)
+	c.done = done
+}
+func (c *fakeConn) Close()           { c.closed = true }
+func (c *fakeConn) CloseAfterWrite() { c.closed = true }
+
+// fakeDialer hands out one connection, or none.
+type fakeDialer struct {
+	conn *fakeConn
+	kept int
+	last func(Conn)
+}
+
+func (d *fakeDialer) Get(_ string, ready func(Conn)) func() {
+	d.last = ready
+	if d.conn == nil {
+		ready(nil)
+	} else {
+		ready(d.conn)
+	}
+	return func() {}
+}
+func (d *fakeDialer) Put(string, Conn) { d.kept++ }
+
+// bench is an engine whose loop does not run: everything happens within the calls of the test.
+type bench struct {
+	e       *engine.Engine
+	dialer  *fakeDialer
+	server  *Server
+	workers *Workers
+	list    *Discovery
+	pushed  []*engine.Attempt
+	probes  []*engine.Probe
+	hold    bool // probes are left to the test
+}
+
+// Push implements engine.Workers: an attempt is left to the test, a probe answered at once unless held.
+func (b *bench) Push(a *engine.Attempt)   { b.pushed = append(b.pushed, a) }
+func (b *bench) Cancel(a *engine.Attempt) { b.workers.Cancel(a) }
+func (b *bench) Probe(p *engine.Probe) {
+	if b.hold {
+		b.probes = append(b.probes, p)
+		return
+	}
+	p.End(decide.Served, decide.Report{Has: decide.HasFreeSlots, FreeSlots: 4})
+}
+
+var testReports = &Reports{Fields: []string{"active", "cpu", "x0"}, Make: func(v []float32) (r decide.Report) {
+	for i, field := range []decide.Fields{decide.HasInFlight, decide.HasUtil, decide.HasFreeSlots} {
+		if !math.IsNaN(float64(v[i])) {
+			r.Has |= field
+		}
+	}
+	r.FreeSlots = float64(v[2])
+	return r
+}}
+
+func newBench(t *testing.T) *bench {
+	e, err := engine.New(engine.NewLoop(), engine.Config{Zones: []string{"here"}, Kinds: []string{"box"}, Settings: decide.Settings{
+		Nodes: 1, Zones: 1, CanProbe: true, CanCancel: true, MaxAttempts: 4, ColdFrom: 0.3, ColdSpan: 1e6, FallMultiple: 4,
+		FallSpan: 1e6, Tick: 4000, MustAsk: true, AskWithin: 1e7, MaxRetry: 1500000, Classes: []decide.Class{
+			{Effect: decide.Safe, Aim: 2e6, Stretch: 2, Deadline: 9e6, Worth: 1, Kind: -1},
+			{Effect: decide.Unsafe, Aim: 2e6, Stretch: 2, Deadline: 9e6, Worth: 1, Kind: -1}}}})
+	require.NoError(t, err)
+	b := &bench{e: e, dialer: &fakeDialer{conn: &fakeConn{}}, server: NewServer(e, []string{"view", "send"})}
+	b.workers = &Workers{Engine: e, Dialer: b.dialer, Reports: testReports, Host: "app.svc"}
+	b.list = &Discovery{Engine: e, Dialer: b.dialer, Addr: "d"}
+	e.Use(b, b.list)
+	require.NoError(t, b.list.Known([]byte(`{"index":3,"snapshot":true,"endpoints":[{"name":"a","address":"x:1",
+		"zone":"here","type":"box","status":"SERVING","weight":1,"since_ms":0}]}`)))
+	return b
+}
+
+// client opens a connection of a client.
+func (b *bench) client() *fakeConn {
+	c := &fakeConn{}
+	b.server.Serve(c)
+	return c
+}
+
+func feed(h func([]byte), text string, size int) {
+	for len(text) > 0 {
+		n := min(size, len(text))
+		h([]byte(text[:n]))
+		text = text[n:]
+	}
+}
+
+const head = "POST /api/7?q=1 HTTP/1.1\r\nX-Call-Id: 9b\r\nIdempotency-Key: k\r\nX-Call-Class: send\r\n"
+
+// What a worker's bytes stand for; to the client: 200 with the result, 500 where it may have run, and
+// nothing yet where the request goes on.
+func TestOutcomes(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	chunk := func(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+	line := func(state string) string { return `{"id":"9b","state":"` + state + `","result":"a\"b"}` + "\n" }
+	type ending int
+	const (
+		stays ending = iota
+		breaks
+		unwritten // breaks, and the write turns out not to have gone out
+		unsure
+	)
+	for name, c := range map[string]struct {
+		in   string
+		end  ending
+		want decide.Status
+		kept int
+	}{
+		"done":             {ok + chunk(line("started")) + chunk(line("done")) + "0\r\n\r\n", stays, decide.Served, 1},
+		"done in pieces":   {ok + chunk(line("done")[:9]) + chunk(line("done")[9:]) + "0\r\n\r\n", stays, decide.Served, 1},
+		"no last line end": {ok + chunk(strings.TrimSpace(line("done"))) + "0\r\n\r\n", stays, decide.Served, 1},
+		"done, then ends":  {ok + chunk(line("done")), breaks, decide.Served, 0},
+		"closes":           {"HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(line("done")) + "0\r\n\r\n", stays, decide.Served, 0},
+		"unknown state":    {ok + chunk(line("resting")) + chunk(line("done")) + "0\r\n\r\n", stays, decide.Served, 1},
+		"failed":           {ok + chunk(line("failed")) + "0\r\n\r\n", stays, decide.Error, 1},
+		"returned":         {ok + chunk(line("returned")) + "0\r\n\r\n", stays, decide.Full, 1},
+		"lost":             {ok + chunk(line("lost")) + "0\r\n\r\n", stays, decide.Reset, 1},
+		"500":              {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", stays, decide.Error, 1},
+		"full":             {"HTTP/1.1 503 Full\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", stays, decide.Full, 1},
+		"504, unstarted":   {"HTTP/1.1 504 No\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", stays, decide.Full, 1},
+		"503 of its own":   {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", stays, decide.Error, 1},
+		"no last line":     {ok + chunk(line("started")) + "0\r\n\r\n", stays, decide.Reset, 1},
+		"breaks":           {ok + chunk(line("started")), breaks, decide.Reset, 0},
+		"breaks at once":   {"", breaks, decide.Reset, 0},
+		"never written":    {"", unwritten, decide.ConnectFailed, 0},
+		"perhaps written":  {"", unsure, decide.Reset, 0},
+		"not HTTP":         {"hello\r\n\r\n", stays, decide.Reset, 0},
+		"not JSON":         {ok + chunk("{oops\n"), stays, decide.Reset, 0},
+		"another's line":   {ok + chunk(`{"id":"zz","state":"done","result":"x"}`+"\n"), stays, decide.Reset, 0},
+		"endless line":     {ok + chunk(strings.Repeat("x", maxResult+1)), stays, decide.Reset, 0},
+	} {
+		for _, size := range []int{1 << 20, 1} {
+			b := newBench(t)
+			client := b.client()
+			client.handler.Data([]byte(head + "X-Budget: 8000m\r\nContent-Length: 2\r\n\r\nhi"))
+			require.Len(t, b.pushed, 1, name)
+			b.workers.Push(b.pushed[0])
+			conn := b.dialer.conn
+			assert.True(t, strings.HasPrefix(conn.out, "POST /api/7?q=1 HTTP/1.1\r\n"), name)
+			assert.Contains(t, conn.out, "X-Call-Id: 9b\r\n")
+			assert.Contains(t, conn.out, "Idempotency-Key: k\r\n")
+			assert.True(t, strings.HasSuffix(conn.out, "Content-Length: 2\r\n\r\nhi"), name)
+			switch c.end {
+			case unwritten, unsure:
+				conn.handler.Closed()
+				conn.done(map[ending]WriteEnd{unwritten: NotWholly, unsure: Unsure}[c.end])
+			default:
+				conn.done(Written)
+				feed(func(p []byte) { conn.handler.Data(p) }, c.in, size)
+				if c.end == breaks {
+					conn.handler.Closed()
+				}
+			}
+			assert.Equal(t, 1, b.e.Counts.Outcomes[c.want], "%s in pieces of %d: %s", name, size, b.e.Counts.String())
+			assert.Equal(t, c.kept, b.dialer.kept, "%s: connections kept", name)
+			switch {
+			case c.want == decide.Served:
+				assert.Contains(t, client.out, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\na\"b", name)
+			case c.want.NeverRan():
+				assert.Empty(t, client.out, name)
+			default:
+				assert.Contains(t, client.out, "HTTP/1.1 500", name)
+			}
+		}
+	}
+}
+
+// An attempt is not sent once its request has been answered or its worker told to drain while we dialled.
+func TestSendableIsAskedAfterTheDial(t *testing.T) {
+	for name, between := range map[string]func(b *bench, c *fakeConn){
+		"client gone": func(b *bench, c *fakeConn) { c.handler.Closed() },
+		"worker drains": func(b *bench, c *fakeConn) {
+			b.e.Announce(decide.ListDelta, []engine.Entry{{Name: "a", State: decide.Draining}})
+		},
+		"worker departed": func(b *bench, c *fakeConn) { b.e.Announce(decide.ListFull, nil) },
+	} {
+		b := newBench(t)
+		client := b.client()
+		client.handler.Data([]byte(head + "X-Budget: 8000m\r\nContent-Length: 0\r\n\r\n"))
+		require.Len(t, b.pushed, 1, name)
+		between(b, client)
+		b.workers.Push(b.pushed[0])
+		assert.Empty(t, b.dialer.conn.out, name)
+	}
+}
+
+// The load figures of a probe reach the module by either name; a probe without OnBody once lost them all.
+func TestProbes(t *testing.T) {
+	for name, c := range map[string]struct {
+		in   string
+		want decide.Status
+		has  decide.Fields
+	}{
+		"not JSON":        {"200 OK\r\nContent-Length: 5\r\n\r\n{oops", decide.Served, 0},
+		"settings' names": {"200 OK\r\nContent-Length: 29\r\n\r\n" + `{"active":1,"cpu":0,"x0":3.5}`, decide.Served, decide.HasInFlight | decide.HasUtil | decide.HasFreeSlots},
+		"PROTOCOL's":      {"200 OK\r\nContent-Length: 16\r\n\r\n" + `{"inflight":1.5}`, decide.Served, decide.HasInFlight},
+		"in a header":     {"200 OK\r\nX-Load-Report: {\"util\":0.5}\r\nContent-Length: 0\r\n\r\n", decide.Served, decide.HasUtil},
+		"unwell":          {"503 No\r\nContent-Length: 0\r\n\r\n", decide.Error, 0},
+	} {
+		b := newBench(t)
+		b.hold = true
+		b.client().handler.Data([]byte(head + "X-Budget: 8000m\r\nContent-Length: 0\r\n\r\n"))
+		require.Len(t, b.probes, 1, name)
+		b.workers.Probe(b.probes[0])
+		assert.Equal(t, "GET /-/load HTTP/1.1\r\nHost: app.svc\r\n\r\n", b.dialer.conn.out, name)
+		b.dialer.conn.done(Written)
+		x := b.dialer.conn.handler.(*exchange)
+		feed(x.Data, "HTTP/1.1 "+c.in, 1)
+		assert.Equal(t, 1, b.e.Counts.Probes[c.want], name)
+		assert.Equal(t, c.has, x.report.Has, name)
+	}
+}
+
+// What clients send that is no request: the status of the answer, and whether the connection stays.
+func TestBadRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		in     string
+		status int
+		closed bool
+	}{
+		"ready":         {"GET /-/ready HTTP/1.1\r\n\r\n", 200, false},
+		"stats":         {"GET /-/stats HTTP/1.1\r\n\r\n", 200, false},
+		"unknown path":  {"GET /nowhere HTTP/1.1\r\n\r\n", 404, false},
+		"own path":      {"POST /-/x HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 404, false},
+		"HEAD":          {"HEAD / HTTP/1.1\r\n\r\n", 404, true},
+		"malformed":     {"nonsense\r\n\r\n", 400, true},
+		"too large":     {"POST / HTTP/1.1\r\nContent-Length: 99999\r\n\r\n", 413, true},
+		"long head":     {"GET / HTTP/1.1\r\nA: " + strings.Repeat("x", 20000), 431, true},
+		"unknown class": {"POST /a HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: x\r\nX-Budget: 5m\r\n\r\n", 400, false},
+		"no budget":     {head + "\r\n", 400, false},
+		"bad budget":    {head + "X-Budget: 5s\r\n\r\n", 400, false},
+		"vast budget":   {head + "X-Budget: 1e300m\r\n\r\n", 400, false},
+		"no id":         {"POST /a HTTP/1.1\r\nX-Call-Class: send\r\nX-Budget: 5m\r\n\r\n", 400, false},
+		"too late":      {head + "X-Budget: 5m\r\n\r\n", 503, false},
+	} {
+		for _, size := range []int{1 << 20, 1} {
+			b := newBench(t)
+			x := b.client()
+			feed(x.handler.Data, c.in, size)
+			assert.True(t, strings.HasPrefix(x.out, fmt.Sprintf("HTTP/1.1 %d ", c.status)), "%s: %s", name, x.out)
+			assert.Equal(t, 1, strings.Count(x.out, "HTTP/1.1"), name)
+			assert.Equal(t, c.closed, x.closed, name)
+			assert.Zero(t, b.e.Open(), name)
+		}
+	}
+	b := newBench(t)
+	x := b.client()
+	x.handler.Data([]byte(head + "X-Budget: 5m\r\n\r\n"))
+	assert.Contains(t, x.out, "Retry-After: 1.500\r\n", "as long as the settings allow")
+}
+
+// Requests sent ahead wait for their turn and are answered in order.
+func TestPipelining(t *testing.T) {
+	b := newBench(t)
+	x := b.client()
+	x.handler.Data([]byte(head + "X-Budget: 8000m\r\n\r\nGET /-/ready HTTP/1.1\r\n\r\n"))
+	assert.Empty(t, x.out)
+	b.pushed[0].End(decide.Served, []byte("one"), decide.Report{})
+	assert.Equal(t, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\noneHTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nready\n", x.out)
+}
+
+// A watch is renewed from the version last heard; a failure is told at once, and the next call asks again.
+func TestWatch(t *testing.T) {
+	b := newBench(t)
+	conn := b.dialer.conn
+	answer := func(body string) {
+		conn.out = ""
+		conn.handler.Data([]byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)))
+	}
+	b.list.Watch(true)
+	assert.Contains(t, conn.out, "GET /api/targets?from=3&hold_ms=1 HTTP/1.1")
+	answer(`{"index":5,"snapshot":false,"endpoints":[{"name":"z","address":"y:1","zone":"here","type":"box","status":"SERVING"}]}`)
+	assert.Contains(t, conn.out, "from=5&hold_ms=8000")
+	n := 0
+	b.e.Each(func(string) { n++ })
+	assert.Equal(t, 2, n)
+	answer(`{"index":6,"snapshot":true,"endpoints":[]}`)
+	b.e.Each(func(string) { n-- })
+	assert.Equal(t, 2, n, "a whole list without them removes both")
+	conn.out = ""
+	conn.handler.Closed()
+	assert.Empty(t, conn.out, "when to ask again is the module's decision")
+	assert.Equal(t, 1, b.e.Counts.ListFailed)
+	b.list.Watch(true)
+	assert.Contains(t, conn.out, "from=6&hold_ms=1 ")
+}
+
+func TestBudgets(t *testing.T) {
+	for text, want := range map[string]time.Duration{"480m": 480 * time.Millisecond, "1500u": 1500 * time.Microsecond,
+		"0.5m": 500 * time.Microsecond, "0m": 0, "": -1, "m": -1, "5": -1, "-5m": -1, "NaNm": -1, "5s": -1} {
+		got, ok := parseBudget(text)
+		assert.Equal(t, want >= 0, ok, text)
+		if ok {
+			assert.Equal(t, want, got, text)
+		}
+	}
+	assert.Equal(t, "x", string(unquoted(json.RawMessage(`"x"`))))
+	assert.Equal(t, `{"a":1}`, string(unquoted(json.RawMessage(`{"a":1}`))))
+}
