--- /dev/null
+++ b/internal/net/net_test.go
@@ -0,0 +1,174 @@
+package net
+
+import (
+	stdnet "net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"weldscale/internal/engine"
+	"weldscale/internal/jobs"
+)
+
+const patience = 20 * time.Second
+
+// rig is a driver on a running loop.
+type rig struct {
+	t    *testing.T
+	loop *engine.Loop
+	d    *Driver
+	dead chan struct{} // gets one for each connection that ended
+}
+
+func newRig(t *testing.T, c Config) *rig {
+	c.ConnectTimeout = patience
+	g := &rig{t: t, loop: engine.NewLoop(), dead: make(chan struct{}, 1000)}
+	g.d = New(g.loop, c)
+	g.d.Counted = func(int, int, int) {}
+	g.d.ShedIdle = func(int) int { return 0 }
+	end := make(chan struct{})
+	go func() { g.loop.Run(); close(end) }()
+	t.Cleanup(func() { g.loop.Post(g.loop.Stop); <-end })
+	return g
+}
+
+func (g *rig) Data([]byte) {}
+func (g *rig) Closed()     { g.dead <- struct{}{} }
+
+// do runs f on the loop and waits for it.
+func (g *rig) do(f func()) {
+	done := make(chan struct{})
+	g.loop.Post(func() { f(); close(done) })
+	<-done
+}
+
+func (g *rig) get(addr string) jobs.Conn {
+	got := make(chan jobs.Conn, 1)
+	g.do(func() { g.d.Get(addr, func(c jobs.Conn) { got <- c }) })
+	return <-got
+}
+
+// peer listens and hands over what it accepts.
+func peer(t *testing.T) (string, chan stdnet.Conn) {
+	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	conns := make(chan stdnet.Conn, 1000)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			conns <- c
+		}
+	}()
+	return ln.Addr().String(), conns
+}
+
+// ended waits for the other side to close or reset.
+func ended(t *testing.T, c stdnet.Conn) {
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(patience)))
+	_, err := c.Read(make([]byte, 1))
+	require.Error(t, err)
+	nerr, ok := err.(stdnet.Error)
+	assert.False(t, ok && nerr.Timeout(), "it stayed open")
+}
+
+func TestPool(t *testing.T) {
+	addr, conns := peer(t)
+	g := newRig(t, Config{Descriptors: 1024, IdleLimit: 100 * time.Millisecond})
+	first := g.get(addr)
+	theirs := <-conns
+	g.do(func() {
+		g.d.Put(addr, first)
+		g.d.Get(addr, func(c jobs.Conn) { assert.Same(t, first, c, "an idle one is used again") })
+		g.d.Put(addr, first)
+	})
+	ended(t, theirs) // before the worker would, or a request could be lost on it
+
+	// One that the worker closes while it is idle is not handed out.
+	g = newRig(t, Config{Descriptors: 1024, IdleLimit: time.Hour})
+	first = g.get(addr)
+	theirs = <-conns
+	g.do(func() { g.d.Put(addr, first) })
+	theirs.Close()
+	require.Eventually(t, func() bool { return g.d.open.Load() == 0 }, patience, time.Millisecond)
+	assert.NotSame(t, first, g.get(addr))
+}
+
+func TestDialThatFails(t *testing.T) {
+	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ln.Close() // nobody listens there now
+	g := newRig(t, Config{Descriptors: 1024, IdleLimit: time.Hour})
+	assert.Nil(t, g.get(ln.Addr().String()))
+	assert.Zero(t, g.d.open.Load())
+	g = newRig(t, Config{Descriptors: reserved, IdleLimit: time.Hour})
+	assert.Nil(t, g.get(ln.Addr().String()), "no descriptor is left")
+}
+
+// A broken connection says so, and a write on it that nothing of it has left.
+func TestWriteAfterTheEnd(t *testing.T) {
+	addr, conns := peer(t)
+	g := newRig(t, Config{Descriptors: 1024, IdleLimit: time.Hour})
+	c := g.get(addr)
+	g.do(func() { c.SetHandler(g) })
+	wrote := make(chan jobs.WriteEnd, 1)
+	g.do(func() { c.Write([]byte("x"), func(e jobs.WriteEnd) { wrote <- e }) })
+	assert.Equal(t, jobs.Written, <-wrote)
+	(<-conns).Close()
+	<-g.dead
+	g.do(func() { c.Write([]byte("y"), func(e jobs.WriteEnd) { wrote <- e }) })
+	assert.Equal(t, jobs.NotWholly, <-wrote)
+}
+
+// With the budget of descriptors used up, idle connections to workers go first, then those of clients, and
+// what is over the hard bound is turned away at once.
+func TestBudgetOfDescriptors(t *testing.T) {
+	addr, conns := peer(t)
+	const room = 4
+	g := newRig(t, Config{Descriptors: reserved + margin + room, IdleLimit: time.Hour})
+	var accepted []jobs.Conn
+	g.d.Accepted = func(c jobs.Conn) { c.SetHandler(g); accepted = append(accepted, c) }
+	g.d.ShedIdle = func(n int) int {
+		n = min(n, len(accepted)-1)
+		for _, c := range accepted[:n] {
+			c.Close()
+		}
+		accepted = accepted[n:]
+		return n
+	}
+	g.do(func() { require.NoError(t, g.d.Listen("127.0.0.1:0")) })
+	idle := g.get(addr)
+	worker := <-conns
+	g.do(func() { g.d.Put(addr, idle) })
+	var clients []stdnet.Conn
+	for range room + 1 {
+		c, err := stdnet.Dial("tcp", g.d.Addr())
+		require.NoError(t, err)
+		defer c.Close()
+		clients = append(clients, c)
+	}
+	ended(t, worker)
+	c, err := stdnet.Dial("tcp", g.d.Addr())
+	require.NoError(t, err)
+	defer c.Close()
+	ended(t, clients[0])
+	g.do(func() { g.d.open.Add(margin + room) }) // as if as many were in use
+	over, err := stdnet.Dial("tcp", g.d.Addr())
+	require.NoError(t, err)
+	ended(t, over)
+	g.do(func() { g.d.open.Add(-margin - room) })
+
+	g.do(g.d.StopListening)
+	require.Eventually(t, func() bool {
+		c, err := stdnet.Dial("tcp", g.d.Addr())
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	}, patience, time.Millisecond)
+}
