Ready only once a worker is known; test the configuration

Seen with an empty known list and no discovery: /-/ready answered 200 though no job could be served. Engine.Announce set listed on any list; it now takes a worker in state ready.

--- /dev/null
+++ b/cmd/weldscale/config_test.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// The flattened settings have the form of WIRE section 12.
+func TestFlatten(t *testing.T) {
+	for in, want := range map[string]map[string]string{
+		`{"a":{"b":1.0,"c":true},"d":"x y,z"}`:            {"a.b": "1.0", "a.c": "true", "d": "x_y_z"},
+		`{"zones":["u","d e"],"empty":[],"n":null}`:       {"zones": "u,d_e", "empty": "", "n": ""},
+		`{"classes":[{"name":"a"},{"name":"b","x":[1]}]}`: {"classes.count": "2", "classes.0.name": "a", "classes.1.name": "b", "classes.1.x": "1"},
+		`{"big":25000000}`:                                {"big": "25000000"},
+	} {
+		got, err := flatten([]byte(in))
+		assert.NoError(t, err)
+		assert.Equal(t, want, got)
+	}
+}
+
+// A configuration that can't be used is refused with one line that names the fault.
+func TestBadConfig(t *testing.T) {
+	good := `{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
+		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"settings":` + settings + `}`
+	for name, c := range map[string]struct{ old, new, want string }{
+		"good":             {"", "", ""},
+		"not JSON":         {"{", "[", "config"},
+		"no listen":        {`"listen":"127.0.0.1:0",`, "", "listen"},
+		"bad seed":         {"8c1f", "wxyz", "seed"},
+		"few sockets":      {"1024", "10", "sockets"},
+		"no settings":      {`"settings"`, `"sittings"`, "settings"},
+		"a setting lacks":  {`"max_attempts":4,`, "", "max_attempts"},
+		"unknown effect":   {"read_like", "harmless", "effect"},
+		"a figure is text": {`"balancers":1`, `"balancers":"many"`, "balancers"},
+	} {
+		path := filepath.Join(t.TempDir(), "config.json")
+		require.NoError(t, os.WriteFile(path, []byte(strings.Replace(good, c.old, c.new, 1)), 0o600))
+		conf, err := load(func(key string) string { return map[string]string{"GW_CONFIG": path, "GW_NAME": "other"}[key] })
+		if c.want == "" {
+			require.NoError(t, err, name)
+			assert.Equal(t, "other", conf.Name, "the variable wins")
+			assert.Equal(t, []string{"view", "send"}, conf.classes)
+			assert.EqualValues(t, 2000000, conf.engine.Settings.MaxRetry)
+			assert.Equal(t, "10s", conf.idleLimit.String())
+			continue
+		}
+		require.Error(t, err, name)
+		assert.Contains(t, err.Error(), c.want, name)
+		assert.NotContains(t, err.Error(), "\n", name)
+	}
+	_, err := load(func(string) string { return "" })
+	assert.EqualError(t, err, "config: GW_CONFIG is not set")
+}
--- a/cmd/weldscale/rules_test.go
+++ b/cmd/weldscale/rules_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -124,14 +125,14 @@
 
 func startBench(t *testing.T, entries ...string) *bench {
 	b := &bench{t: t, news: make(chan string, 8), end: make(chan struct{})}
-	index := 7
+	var index atomic.Int64 // a call that waits and the next one run side by side
+	index.Store(7)
 	discovery := listen(t, func(r *http.Request, c net.Conn) {
 		list := ""
 		if r.URL.Query().Get("hold_ms") != "1" {
 			list = <-b.news
 		}
-		index++
-		body := fmt.Sprintf(`{"index":%d,"snapshot":false,"endpoints":[%s]}`, index, list)
+		body := fmt.Sprintf(`{"index":%d,"snapshot":false,"endpoints":[%s]}`, index.Add(1), list)
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	})
 	t.Cleanup(func() { close(b.news) })
@@ -215,9 +216,9 @@
 	assert.Equal(t, 500, status)
 	assert.Equal(t, []string{"unsafe"}, w.seen())
 
-	turned := 0
+	var turned atomic.Int64
 	w2 := startWorker(t, func(r *http.Request, c net.Conn) {
-		if turned++; turned == 1 {
+		if turned.Add(1) == 1 {
 			fmt.Fprint(c, "HTTP/1.1 503 Full\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n")
 			return
 		}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -106,7 +106,7 @@
 	lastID   uint32
 	todo     []func() // actions the module has asked for and that are not carried out yet
 	running  bool
-	listed   bool // a list has come
+	listed   bool // a list has named a worker that takes jobs
 }
 
 // Config is what New needs besides the settings of the decisions.
@@ -140,7 +140,7 @@
 // Open returns how many requests wait for their final answer.
 func (e *Engine) Open() int { return e.open }
 
-// Ready reports whether a worker list is at hand.
+// Ready reports whether there has been a worker to serve with: the front may send clients from then on.
 func (e *Engine) Ready() bool { return e.listed }
 
 // Submit takes a request of a client. The job's ID is set here.
@@ -197,6 +197,7 @@
 			w.Addr = in.Addr
 		}
 		w.State = in.State
+		e.listed = e.listed || w.State == decide.Ready
 		list = append(list, decide.Worker{ID: w.ID, Zone: index(e.zones, in.Zone), Kind: index(e.kinds, in.Kind),
 			Cell: in.Cell, State: in.State, Weight: in.Weight, StartedAt: in.StartedAt})
 	}
@@ -204,7 +205,6 @@
 		e.Counts.ListFailed++
 	} else {
 		e.Counts.ListNews++
-		e.listed = true
 	}
 	e.call(func() { e.d.Announce(e.Now(), kind, list) })
 	for name, w := range e.byName { // names come and go for as long as the scheduler runs
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -76,11 +76,13 @@
 func (f *fake) Refused(w time.Duration) { f.log += "refused:" + w.String() + " " }
 func (f *fake) Failed()                 { f.log += "failed " }
 
+var testSettings = decide.Settings{Nodes: 1, Zones: 1, CanProbe: true, CanCancel: true, MaxAttempts: 4,
+	ColdFrom: 0.3, ColdSpan: 1e6, FallMultiple: 4, FallSpan: 1e6, Tick: 4000, MaxRetry: 1e6,
+	Classes: []decide.Class{{Aim: 2e6, Deadline: 9e6, Stretch: 2, Kind: -1, Worth: 1},
+		{Effect: decide.Unsafe, Aim: 2e6, Deadline: 9e6, Stretch: 2, Kind: -1, Worth: 1}}}
+
 func newFake(t *testing.T) *fake {
-	e, err := New(NewLoop(), Config{Zones: []string{"here"}, Settings: decide.Settings{Nodes: 1, Zones: 1, CanProbe: true,
-		CanCancel: true, MaxAttempts: 4, ColdFrom: 0.3, ColdSpan: 1e6, FallMultiple: 4, FallSpan: 1e6, Tick: 4000,
-		MaxRetry: 1e6, Classes: []decide.Class{{Aim: 2e6, Deadline: 9e6, Stretch: 2, Kind: -1, Worth: 1},
-			{Effect: decide.Unsafe, Aim: 2e6, Deadline: 9e6, Stretch: 2, Kind: -1, Worth: 1}}}})
+	e, err := New(NewLoop(), Config{Zones: []string{"here"}, Settings: testSettings})
 	require.NoError(t, err)
 	f := &fake{e: e}
 	e.Use(f, f)
@@ -152,6 +154,27 @@
 	assert.Len(t, f.e.byID, 1)
 }
 
+// An empty list is nothing to serve with; once there was a worker, the front has its own ways to notice trouble.
+func TestReady(t *testing.T) {
+	e, err := New(NewLoop(), Config{Settings: testSettings})
+	require.NoError(t, err)
+	e.Use(newFake(t), newFake(t))
+	for _, step := range []struct {
+		kind decide.ListKind
+		list []Entry
+		want bool
+	}{
+		{decide.ListCached, nil, false},
+		{decide.ListFailed, nil, false},
+		{decide.ListFull, []Entry{{Name: "a", State: decide.Draining}}, false},
+		{decide.ListDelta, []Entry{{Name: "a", State: decide.Ready}}, true},
+		{decide.ListFull, nil, true},
+	} {
+		e.Announce(step.kind, step.list)
+		assert.Equal(t, step.want, e.Ready(), "%+v", step)
+	}
+}
+
 func TestCounts(t *testing.T) {
 	f := newFake(t)
 	f.submit(0)
