Bound what long service piles up: hosts without connections, bytes sent ahead

Found by reading, not by a failure: Driver.hosts kept every address a worker ever had, and 928 clients could hold 64 KB each sent ahead of an answer besides their body, 119 MB of the 115 MB that the memory limit leaves the heap. Hosts are now swept at 256, bytes ahead bounded at 16 KB.

--- a/internal/jobs/client.go
+++ b/internal/jobs/client.go
@@ -18,7 +18,7 @@
 // must answer each request whole and once, and must never close a connection that holds an accepted one.
 
 const (
-	maxAhead  = 64 << 10         // bytes that a client may send ahead of its answer
+	maxAhead  = 16 << 10         // bytes that a client may send ahead of its answer
 	sentAgo   = time.Millisecond // about what a request is on its way: its budget counts from its sending
 	maxBudget = 24 * time.Hour
 	maxSlots  = 1 << 20
--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -27,6 +28,7 @@
 	writeTimeout = 5 * time.Second // for a peer that takes no bytes
 	linger       = time.Second     // for a peer to take our last answer before the close
 	idlePerHost  = 8
+	maxHosts     = 256 // before those without a connection at rest are forgotten
 )
 
 // Config says within which bounds a Driver works.
@@ -300,6 +302,9 @@
 func (d *Driver) host(addr string) *host {
 	h := d.hosts[addr]
 	if h == nil {
+		if len(d.hosts) >= maxHosts { // addresses come and go for as long as the scheduler runs
+			maps.DeleteFunc(d.hosts, func(_ string, h *host) bool { return len(h.idle)+len(h.waiting) == 0 })
+		}
 		h = &host{addr: addr}
 		d.hosts[addr] = h
 	}
@@ -370,6 +375,7 @@
 		c.Close()
 		return
 	}
+	c.host = h // the one it was dialled for may be forgotten
 	c.handler = idleHandler{c}
 	h.idle = append(h.idle, c)
 	d.idle = append(d.idle, c)
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -99,6 +99,24 @@
 	assert.NotSame(t, first, g.get(addr))
 }
 
+// Hosts do not pile up while addresses change, and a connection that was out meanwhile comes back whole.
+func TestHostsAreForgotten(t *testing.T) {
+	addr, _ := peer(t)
+	g := newRig(t, Config{Descriptors: 1024, IdleLimit: time.Hour})
+	c := g.get(addr)
+	g.do(func() {
+		for i := range 3 * maxHosts {
+			g.d.host(string(rune(i)))
+		}
+		assert.LessOrEqual(t, len(g.d.hosts), maxHosts)
+		g.d.Put(addr, c)
+		assert.Len(t, g.d.host(addr).idle, 1)
+		g.d.Get(addr, func(again jobs.Conn) { assert.Same(t, c, again) })
+		assert.Empty(t, g.d.host(addr).idle)
+		assert.Empty(t, g.d.idle)
+	})
+}
+
 func TestDialThatFails(t *testing.T) {
 	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
