Test a served attempt of a gone client, and the answers while stopping

Eight faults were put in by hand, one at a time; six were caught. The other two (a result for a client that has gone where attempts can't be called off; keep-alive while stopping) have tests now that fail with them.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -81,8 +81,10 @@
 	Classes: []decide.Class{{Aim: 2e6, Deadline: 9e6, Stretch: 2, Kind: -1, Worth: 1},
 		{Effect: decide.Unsafe, Aim: 2e6, Deadline: 9e6, Stretch: 2, Kind: -1, Worth: 1}}}
 
-func newFake(t *testing.T) *fake {
-	e, err := New(NewLoop(), Config{Zones: []string{"here"}, Settings: testSettings})
+func newFake(t *testing.T) *fake { return newFakeWith(t, testSettings) }
+
+func newFakeWith(t *testing.T, s decide.Settings) *fake {
+	e, err := New(NewLoop(), Config{Zones: []string{"here"}, Settings: s})
 	require.NoError(t, err)
 	f := &fake{e: e}
 	e.Use(f, f)
@@ -124,6 +126,20 @@
 	}
 }
 
+// Where attempts can't be called off, one may be served after its client has gone; nobody is answered then.
+func TestServedAfterTheClientHasGone(t *testing.T) {
+	s := testSettings
+	s.CanCancel = false
+	f := newFakeWith(t, s)
+	f.e.Hangup(f.submit(0))
+	assert.Len(t, f.e.requests, 1, "its attempt is still out")
+	f.attempts[0].End(decide.Served, nil, decide.Report{})
+	assert.Equal(t, "push ", f.log)
+	assert.Zero(t, f.e.Counts.Served)
+	assert.Zero(t, f.e.Open())
+	assert.Empty(t, f.e.requests)
+}
+
 func TestIDsAreNotReusedWhileInUse(t *testing.T) {
 	f := newFake(t)
 	first := f.submit(0)
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -288,6 +288,24 @@
 	assert.Equal(t, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\noneHTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nready\n", x.out)
 }
 
+// While the scheduler stops, it serves what comes, says that it is not ready, and each answer ends its connection.
+func TestClosing(t *testing.T) {
+	b := newBench(t)
+	busy, idle, half := b.client(), b.client(), b.client()
+	busy.handler.Data([]byte(head + "X-Budget: 8000m\r\n\r\n"))
+	half.handler.Data([]byte("POST /a HT"))
+	b.server.Closing()
+	assert.Equal(t, 1, b.server.CloseIdle(10))
+	assert.True(t, idle.closed)
+	assert.False(t, busy.closed || half.closed, "one holds a request, on the other one is coming in")
+	b.pushed[0].End(decide.Served, []byte("x"), decide.Report{})
+	assert.Contains(t, busy.out, "Connection: close\r\n")
+	assert.True(t, busy.closed)
+	late := b.client()
+	late.handler.Data([]byte("GET /-/ready HTTP/1.1\r\n\r\n"))
+	assert.Contains(t, late.out, "HTTP/1.1 503 ")
+}
+
 // A watch is renewed from the version last heard; a failure is told at once, and the next call asks again.
 func TestWatch(t *testing.T) {
 	b := newBench(t)
