Bound warnings by kind, so that a flood of one does not hide another

Seen when 300 bad connections were opened to the program by hand: the failed call of discovery was logged only among 150 unlogged lines of bad requests, since all warnings shared one limit; the limit was also unguarded state of the package.

--- a/internal/jobs/client.go
+++ b/internal/jobs/client.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"hash/fnv"
-	"log/slog"
 	"math"
 	"strconv"
 	"strings"
@@ -158,9 +157,7 @@
 // refuseInput answers a request that does not become one of the engine's.
 func (x *client) refuseInput(status int, why string) {
 	x.s.Engine.Counts.BadRequests++
-	logBad.Do(func(dropped int) {
-		slog.Warn("bad request", "status", status, "why", why, "unlogged", dropped)
-	})
+	warn("bad request", "status", status, "why", why)
 	x.answer(status, []byte(why+"\n"))
 }
 
--- a/internal/jobs/discovery.go
+++ b/internal/jobs/discovery.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"log/slog"
 	"time"
 
 	"weldscale/decide"
@@ -204,7 +203,7 @@
 	}
 	d.calling = nil
 	if l == nil {
-		logBad.Do(func(dropped int) { slog.Warn("worker list call failed", "why", why, "unlogged", dropped) })
+		warn("worker list call failed", "why", why)
 		d.Engine.Announce(decide.ListFailed, nil)
 		return
 	}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -7,8 +7,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"log/slog"
 	"math"
 	"strconv"
+	"sync"
 	"time"
 
 	"weldscale/decide"
@@ -102,21 +104,23 @@
 	body                    []byte
 }
 
-// limiter bounds how often something is logged: bad input must not fill the log.
-type limiter struct {
-	next    time.Time
-	dropped int
-}
-
-var logBad limiter // used on the loop only
-
-// Do calls f with the number of calls left out since the last one, at most once a second.
-func (l *limiter) Do(f func(dropped int)) {
+// warnings bounds how often each warning is logged: bad input must not fill the log, nor hide other faults.
+var warnings = struct {
+	sync.Mutex
+	next    map[string]time.Time
+	dropped map[string]int
+}{next: map[string]time.Time{}, dropped: map[string]int{}}
+
+// warn logs at most once a second for each text, with how many were left out since. The texts are constants.
+func warn(text string, args ...any) {
+	w := &warnings
+	w.Lock()
+	defer w.Unlock()
 	now := time.Now()
-	if now.Before(l.next) {
-		l.dropped++
+	if now.Before(w.next[text]) {
+		w.dropped[text]++
 		return
 	}
-	f(l.dropped)
-	l.next, l.dropped = now.Add(time.Second), 0
+	slog.Warn(text, append(args, "unlogged", w.dropped[text])...)
+	w.next[text], w.dropped[text] = now.Add(time.Second), 0
 }
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"math"
 	"strings"
 	"testing"
@@ -332,6 +333,20 @@
 	assert.Contains(t, conn.out, "from=6&hold_ms=1 ")
 }
 
+// A flood of one warning is cut short and does not hide another.
+func TestWarningsAreBounded(t *testing.T) {
+	var out strings.Builder
+	old := slog.Default()
+	slog.SetDefault(slog.New(slog.NewTextHandler(&out, nil)))
+	defer slog.SetDefault(old)
+	for range 1000 {
+		warn("flood of the test")
+	}
+	warn("the other")
+	assert.Less(t, strings.Count(out.String(), "flood"), 500)
+	assert.Equal(t, 1, strings.Count(out.String(), "the other"))
+}
+
 func TestBudgets(t *testing.T) {
 	for text, want := range map[string]time.Duration{"480m": 480 * time.Millisecond, "1500u": 1500 * time.Microsecond,
 		"0.5m": 500 * time.Microsecond, "0m": 0, "": -1, "m": -1, "5": -1, "-5m": -1, "NaNm": -1, "5s": -1} {
--- a/internal/jobs/worker.go
+++ b/internal/jobs/worker.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"log/slog"
 	"strconv"
 	"time"
 
@@ -145,9 +144,7 @@
 		return
 	}
 	if err != nil {
-		logBad.Do(func(dropped int) {
-			slog.Warn("bad response", "worker", x.worker.Name, "why", err, "unlogged", dropped)
-		})
+		warn("bad response", "worker", x.worker.Name, "why", err)
 		x.end(decide.Reset)
 		return
 	}
@@ -206,9 +203,7 @@
 		Load   json.RawMessage `json:"load"`
 	}
 	if err := json.Unmarshal(line, &in); err != nil || in.ID != "" && in.ID != x.attempt.Request.Payload.(*call).id {
-		logBad.Do(func(dropped int) {
-			slog.Warn("bad line of a job", "worker", x.worker.Name, "unlogged", dropped)
-		})
+		warn("bad line of a job", "worker", x.worker.Name)
 		x.end(decide.Reset)
 		return
 	}
