Fix two tests that a busy machine could fail

Seen in a clean clone: TestBudgetOfDescriptors panicked, slice bounds [:-1], when several connections were open before the first was handed over; its stub of ShedIdle took len-1 of none (the program's own CloseIdle has no such sum). Seen under eight copies at once: TestNoRequestIsDropped wanted 500 of a request that a slow machine had not sent within 300 ms, where 503 is right; it now asks what the worker has seen.

--- a/cmd/weldscale/rules_test.go
+++ b/cmd/weldscale/rules_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -193,12 +194,16 @@
 	status, body := b.ask("plain", "view", patience)
 	assert.Equal(t, 200, status)
 	assert.Equal(t, "made of plain", body)
-	status, _ = b.ask("silent", "send", 300*time.Millisecond)
-	assert.Equal(t, 500, status, "it may have run: no refusal")
+	status, _ = b.ask("silent", "send", 2*time.Second)
+	if slices.Contains(w.seen(), "silent") {
+		assert.Equal(t, 500, status, "it may have run: no refusal")
+	} else { // a machine too busy to send it in time
+		assert.Equal(t, 503, status)
+	}
 
 	answered := make(chan int)
 	go func() { status, _ := b.ask("late", "view", patience); answered <- status }()
-	require.Eventually(t, func() bool { return len(w.seen()) == 3 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return slices.Contains(w.seen(), "late") }, patience, time.Millisecond)
 	b.s.loop.Post(b.s.stop)
 	status, _ = b.ask("after the signal", "view", patience)
 	assert.Equal(t, 200, status, "clients are served while they still come")
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -152,7 +152,7 @@
 	var accepted []jobs.Conn
 	g.d.Accepted = func(c jobs.Conn) { c.SetHandler(g); accepted = append(accepted, c) }
 	g.d.ShedIdle = func(n int) int {
-		n = min(n, len(accepted)-1)
+		n = min(n, max(0, len(accepted)-1)) // several may be open before the first is handed over
 		for _, c := range accepted[:n] {
 			c.Close()
 		}
