Shed the longest idle client connections first

Server.CloseIdle took connections in map order, so under a short budget it could close one that had just come, with a request on its way. The new test fails on that order.

--- a/internal/jobs/client.go
+++ b/internal/jobs/client.go
@@ -1,9 +1,11 @@
 package jobs
 
 import (
+	"cmp"
 	"errors"
 	"hash/fnv"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -35,6 +37,7 @@
 
 	closing bool
 	idle    map[*client]struct{} // connections between two requests
+	turn    uint64               // counts the times that one became so
 }
 
 // NewServer returns a server of the engine's requests; the classes are named in the order of the settings.
@@ -50,27 +53,35 @@
 // Serve takes over a new connection of a client.
 func (s *Server) Serve(c Conn) {
 	x := &client{s: s, conn: c, parser: http1.NewRequestParser()}
-	s.idle[x] = struct{}{}
+	s.rest(x)
 	c.SetHandler(x)
 }
 
 // Closing makes every answer from here on its connection's last.
 func (s *Server) Closing() { s.closing = true }
 
-// CloseIdle closes up to n connections that are between two requests, and returns how many.
+// CloseIdle closes up to n connections that are between two requests, the longest idle first, and returns how
+// many. On one that has just come or just been answered the next request may be on its way.
 func (s *Server) CloseIdle(n int) int {
-	closed := 0
+	var idle []*client
 	for x := range s.idle {
-		if closed == n {
-			break
-		}
 		if x.parser.Idle() {
-			delete(s.idle, x)
-			x.conn.Close()
-			closed++
+			idle = append(idle, x)
 		}
 	}
-	return closed
+	slices.SortFunc(idle, func(a, b *client) int { return cmp.Compare(a.since, b.since) })
+	idle = idle[:min(n, len(idle))]
+	for _, x := range idle {
+		delete(s.idle, x)
+		x.conn.Close()
+	}
+	return len(idle)
+}
+
+func (s *Server) rest(x *client) {
+	s.turn++
+	x.since = s.turn
+	s.idle[x] = struct{}{}
 }
 
 // client is one connection. It holds one request at a time; what comes ahead of an answer waits.
@@ -84,6 +95,7 @@
 	over      bool
 	keepAlive bool
 	continued bool
+	since     uint64        // the server's turn when it last became idle
 	slow      *engine.Timer // runs while a request is coming in
 }
 
@@ -298,7 +310,7 @@
 		return
 	}
 	x.parser.Reset()
-	x.s.idle[x] = struct{}{}
+	x.s.rest(x)
 	if next := x.ahead; len(next) > 0 {
 		x.ahead = nil
 		x.Data(next)
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -289,6 +289,17 @@
 	assert.Equal(t, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\noneHTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nready\n", x.out)
 }
 
+// Where descriptors run short, the connection that has been idle longest is closed first.
+func TestLongestIdleGoesFirst(t *testing.T) {
+	b := newBench(t)
+	conns := []*fakeConn{b.client(), b.client(), b.client(), b.client()}
+	conns[0].handler.Data([]byte("GET /-/ready HTTP/1.1\r\n\r\n")) // just answered
+	assert.Equal(t, 2, b.server.CloseIdle(2))
+	for i, want := range []bool{false, true, true, false} {
+		assert.Equal(t, want, conns[i].closed, i)
+	}
+}
+
 // While the scheduler stops, it serves what comes, says that it is not ready, and each answer ends its connection.
 func TestClosing(t *testing.T) {
 	b := newBench(t)
