--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -9,8 +9,8 @@
 	"os"
 	"runtime/debug"
 
-	"hoistroad/decide"
-	"hoistroad/internal/wire"
+	"weldscale/decide"
+	"weldscale/internal/wire"
 )
 
 func main() {
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -5,7 +5,7 @@
 	"io"
 	"math"
 
-	"hoistroad/decide"
+	"weldscale/decide"
 )
 
 // Codes of the actions.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"hoistroad/decide"
+	"weldscale/decide"
 )
 
 // Layout says which figure stands at each place of a site's load reports. 0 marks one that is not used.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,4 +1,4 @@
-// Package wire is the codec for the simulator's wire (WIRE-hoistroad.md): big-endian binary frames, a
+// Package wire is the codec for the simulator's wire (WIRE-weldscale.md): big-endian binary frames, a
 // batch of events in, a reply of actions out. Buffers are reused; nothing is allocated per event.
 package wire
 
@@ -9,7 +9,7 @@
 	"io"
 	"math"
 
-	"hoistroad/decide"
+	"weldscale/decide"
 )
 
 // Codes of the events.
