Reload the configuration on SIGHUP and move the watch to the new discovery

Cause: run() in cmd/weldscale/main.go never registered the signal, so its default action ended the process. Checked besides: load() let GW_DISCOVERY win over the file, so a reload (and a restart after it) would have gone back to the old discovery; the file wins now. Discovery.Watch did nothing while a call was out, so a call held by the old discovery would have delayed the move by up to 11 s; Move drops it without a word and asks for the whole list, as the index may be another's. Signals are heard before anything else; reloads have a channel of their own, so that they can't crowd out a stop.

--- a/cmd/weldscale/config.go
+++ b/cmd/weldscale/config.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"slices"
 	"strconv"
@@ -39,7 +40,8 @@
 	idleLimit      time.Duration
 }
 
-// load reads the file that GW_CONFIG names; the other variables win over it.
+// load reads the file that GW_CONFIG names. The other variables stand in for what it leaves out and never win
+// over it: the file can be replaced while the program runs, its environment can't.
 func load(getenv func(string) string) (*config, error) {
 	path := getenv("GW_CONFIG")
 	if path == "" {
@@ -54,13 +56,16 @@
 		return nil, fmt.Errorf("config: %s: %w", path, err)
 	}
 	for name, field := range map[string]*string{"GW_NAME": &c.Name, "GW_LISTEN": &c.Listen, "GW_DISCOVERY": &c.Discovery} {
-		if v := getenv(name); v != "" {
-			*field = v
+		if *field == "" {
+			*field = getenv(name)
 		}
 	}
 	if c.Listen == "" || c.Discovery == "" {
 		return nil, errors.New("config: listen or discovery is missing")
 	}
+	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
+		return nil, fmt.Errorf("config: discovery: %w", err)
+	}
 	if c.Limits.Sockets < 64 || c.Limits.MemoryMB < 16 {
 		return nil, errors.New("config: limits: sockets or memory_mb is missing or too small")
 	}
--- a/cmd/weldscale/main.go
+++ b/cmd/weldscale/main.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -38,6 +39,11 @@
 }
 
 func run() error {
+	// First of all, since unheard they would end the program. A reload that is asked for while one waits is the
+	// same one, but must not take the place of a stop.
+	hups, signals := make(chan os.Signal, 1), make(chan os.Signal, 4)
+	signal.Notify(hups, syscall.SIGHUP)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	c, err := load(os.Getenv)
 	if err != nil {
 		return err
@@ -45,7 +51,7 @@
 	// One core is ours. The second P lets the loop go on while the first waits in the poller's system call.
 	runtime.GOMAXPROCS(2)
 	debug.SetGCPercent(400) // live state is small; the limit below bounds what that lets pile up
-	debug.SetMemoryLimit(int64(c.Limits.MemoryMB) << 20 * 6 / 10)
+	setMemory(c)
 	if err := netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: os.Stderr}); err != nil {
 		return err
 	}
@@ -55,8 +61,12 @@
 		return err
 	}
 	slog.Info("serving", "name", c.Name, "listen", s.driver.Addr())
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	go func() {
+		for range hups {
+			c, err := load(os.Getenv)
+			s.loop.Post(func() { s.reload(c, err) })
+		}
+	}()
 	go func() {
 		for got := range signals {
 			s.loop.Post(func() {
@@ -74,14 +84,18 @@
 	return nil
 }
 
+func setMemory(c *config) { debug.SetMemoryLimit(int64(c.Limits.MemoryMB) << 20 * 6 / 10) }
+
 // scheduler is the parts, wired.
 type scheduler struct {
-	loop     *engine.Loop
-	e        *engine.Engine
-	driver   *net.Driver
-	server   *jobs.Server
-	stopping time.Time // when the stop began
-	closed   bool      // the door is
+	c         *config // in force
+	loop      *engine.Loop
+	e         *engine.Engine
+	driver    *net.Driver
+	server    *jobs.Server
+	discovery *jobs.Discovery
+	stopping  time.Time // when the stop began
+	closed    bool      // the door is
 }
 
 // start wires the parts and listens. Nothing is served before the loop runs.
@@ -105,7 +119,23 @@
 	if err := discovery.Known(c.Known); err != nil {
 		return nil, err
 	}
-	return &scheduler{loop: loop, e: e, driver: driver, server: server}, driver.Listen(c.Listen)
+	return &scheduler{c: c, loop: loop, e: e, driver: driver, server: server, discovery: discovery}, driver.Listen(c.Listen)
+}
+
+// reload puts a new configuration in force, as far as a running scheduler can: where discovery is and the
+// limits. Everything in hand goes on. One that can't be used changes nothing.
+func (s *scheduler) reload(c *config, err error) {
+	if err != nil {
+		slog.Error("new configuration not taken", "why", err)
+		return
+	}
+	old := s.c
+	slog.Info("new configuration", "discovery", c.Discovery, "restart_needed", c.Name != old.Name ||
+		c.Listen != old.Listen || !reflect.DeepEqual(c.engine.Settings, old.engine.Settings))
+	old.Discovery, old.Limits = c.Discovery, c.Limits
+	setMemory(old)
+	s.driver.SetDescriptors(c.Limits.Sockets)
+	s.discovery.Move(c.Discovery)
 }
 
 // stop serves while clients still come, then answers what was taken, then ends the loop.
--- a/internal/jobs/discovery.go
+++ b/internal/jobs/discovery.go
@@ -34,6 +34,7 @@
 	Addr   string
 
 	index   int64
+	foreign bool // the index is not this discovery's: only a whole list can tell where we stand
 	on      bool
 	calling *listCall
 }
@@ -41,6 +42,7 @@
 // listCall is one call and its answer.
 type listCall struct {
 	d      *Discovery
+	addr   string
 	conn   Conn
 	giveUp func()
 	parser *http1.Parser
@@ -108,8 +110,22 @@
 	}
 }
 
+// Move goes on with another discovery, at once: a call that the old one holds is dropped without a word, since
+// it would end with the old one's news or in a failure that says nothing of the new one.
+func (d *Discovery) Move(addr string) {
+	if addr == d.Addr {
+		return
+	}
+	if d.calling != nil {
+		d.calling.drop()
+	}
+	d.Addr, d.foreign, d.on = addr, true, true
+	d.call(true, true)
+}
+
 func (d *Discovery) call(first, reload bool) {
-	x := &listCall{d: d, first: first, reload: reload, parser: http1.NewResponseParser()}
+	reload = reload || d.foreign
+	x := &listCall{d: d, addr: d.Addr, first: first, reload: reload, parser: http1.NewResponseParser()}
 	d.calling = x
 	x.parser.OnBody = func(b []byte) {
 		if len(x.body)+len(b) <= maxList {
@@ -123,11 +139,11 @@
 		hold = firstHold
 	}
 	x.timer = d.Engine.After(hold+patience, func() { x.end(nil, "no answer") })
-	x.giveUp = d.Dialer.Get(d.Addr, func(c Conn) {
+	x.giveUp = d.Dialer.Get(x.addr, func(c Conn) {
 		x.giveUp = nil
 		if x.over {
 			if c != nil {
-				d.Dialer.Put(d.Addr, c)
+				d.Dialer.Put(x.addr, c)
 			}
 			return
 		}
@@ -141,7 +157,7 @@
 		}
 		x.conn = c
 		c.SetHandler(x)
-		c.Write(http1.AppendRequest(nil, "GET", target, nil, http1.Field{Name: "Host", Value: d.Addr}), nil)
+		c.Write(http1.AppendRequest(nil, "GET", target, nil, http1.Field{Name: "Host", Value: x.addr}), nil)
 	})
 }
 
@@ -173,7 +189,7 @@
 	if clean && x.parser.Msg.KeepAlive {
 		c := x.conn
 		x.conn = nil
-		x.d.Dialer.Put(x.d.Addr, c)
+		x.d.Dialer.Put(x.addr, c)
 	}
 	if s := x.parser.Msg.Status; s != 200 {
 		x.end(nil, "status "+itoa(int64(s)))
@@ -193,21 +209,13 @@
 		return
 	}
 	d := x.d
-	x.over = true
-	x.timer.Stop()
-	if x.giveUp != nil {
-		x.giveUp()
-	}
-	if x.conn != nil {
-		x.conn.Close()
-	}
-	d.calling = nil
+	x.drop()
 	if l == nil {
 		warn("worker list call failed", "why", why)
 		d.Engine.Announce(decide.ListFailed, nil)
 		return
 	}
-	d.index = l.Index
+	d.index, d.foreign = l.Index, false
 	if d.on {
 		d.call(false, false)
 	}
@@ -218,3 +226,16 @@
 		d.Engine.Announce(decide.ListDelta, l.entries())
 	}
 }
+
+// drop ends the call without a word to the module.
+func (x *listCall) drop() {
+	x.over = true
+	x.d.calling = nil
+	x.timer.Stop()
+	if x.giveUp != nil {
+		x.giveUp()
+	}
+	if x.conn != nil {
+		x.conn.Close()
+	}
+}
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -344,6 +344,34 @@
 	assert.Contains(t, conn.out, "from=6&hold_ms=1 ")
 }
 
+// Another discovery has other indexes: until its whole list has come, calls name none, also after a failure.
+// What the old one still says is not heard.
+func TestWatchMoves(t *testing.T) {
+	b := newBench(t)
+	b.list.Watch(true)
+	old := b.dialer.conn
+	held := old.handler
+	b.dialer.conn = &fakeConn{}
+	b.list.Move("e")
+	assert.True(t, old.closed)
+	assert.Contains(t, b.dialer.conn.out, "GET /api/targets HTTP/1.1\r\nHost: e\r\n")
+	held.Closed()
+	held.Data([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"))
+	assert.Zero(t, b.e.Counts.ListFailed)
+	failed := b.dialer.conn
+	failed.handler.Closed()
+	assert.Equal(t, 1, b.e.Counts.ListFailed)
+	b.dialer.conn = &fakeConn{}
+	b.list.Watch(true)
+	assert.Contains(t, b.dialer.conn.out, "GET /api/targets HTTP/1.1\r\n")
+	body := `{"index":1,"snapshot":true,"endpoints":[]}`
+	b.dialer.conn.handler.Data([]byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)))
+	assert.Contains(t, b.dialer.conn.out, "from=1&hold_ms=8000")
+	n := 0
+	b.e.Each(func(string) { n++ })
+	assert.Zero(t, n, "the old list is gone with its discovery")
+}
+
 // A flood of one warning is cut short and does not hide another.
 func TestWarningsAreBounded(t *testing.T) {
 	clear(warnings.next) // of earlier runs of this test
--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -45,6 +45,7 @@
 	hosts map[string]*host
 	idle  []*Conn // idle connections to workers, the longest idle first
 	open  atomic.Int64
+	room  atomic.Int64 // descriptors for connections
 	ln    netpoll.Listener
 
 	// Accepted takes over a client's connection.
@@ -68,9 +69,14 @@
 
 // New returns a driver for the loop.
 func New(loop *engine.Loop, c Config) *Driver {
-	return &Driver{loop: loop, c: c, hosts: map[string]*host{}}
+	d := &Driver{loop: loop, c: c, hosts: map[string]*host{}}
+	d.SetDescriptors(c.Descriptors)
+	return d
 }
 
+// SetDescriptors changes the budget of descriptors; what is open stays open until room is needed.
+func (d *Driver) SetDescriptors(n int) { d.room.Store(int64(n - reserved)) }
+
 // Conn is one connection. Only the loop uses it, but for what is under mu and the flags.
 type Conn struct {
 	d       *Driver
@@ -245,7 +251,7 @@
 	loop, err := netpoll.NewEventLoop(
 		func(ctx context.Context, nc netpoll.Connection) error { return nil },
 		netpoll.WithOnPrepare(func(nc netpoll.Connection) context.Context {
-			if d.open.Add(1) > int64(d.c.Descriptors-reserved) {
+			if d.open.Add(1) > d.room.Load() {
 				d.open.Add(-1)
 				_ = nc.Close()
 				return nil
@@ -324,7 +330,7 @@
 // dial opens a connection on behalf of w, if it is not nil.
 func (d *Driver) dial(h *host, w *waiter) {
 	d.makeRoom()
-	if d.open.Load() >= int64(d.c.Descriptors-reserved) {
+	if d.open.Load() >= d.room.Load() {
 		d.loop.After(0, func() { d.dialled(h, w, nil) })
 		return
 	}
@@ -406,7 +412,7 @@
 // makeRoom sheds idle connections once the budget of descriptors runs short: a worker's first, since a new
 // one only costs time, then those of clients.
 func (d *Driver) makeRoom() {
-	over := int(d.open.Load()) - (d.c.Descriptors - reserved - margin)
+	over := int(d.open.Load() - (d.room.Load() - margin))
 	shed := 0
 	for ; over > 0 && len(d.idle) > 0; over-- {
 		d.idle[0].Close()
