Refuse call ids in use, end silent and half requests in time, shed strangers first

Trace of what client.take submits: 101 of the 897 jobs carried the id of a job of this scheduler that was open or had been answered at most 0.18 s before. Workers answer those with an error, the module ejects the worker for it and tries the next, so bad clients emptied the fleet. Ruled out: ids shared between schedulers (none seen), bytes behind a request (none), CPU (0.09 s in the worst second of 0.25). net.makeRoom shed idle worker connections before any client's, and 1152 clients that ask once and stay held the budget, so that nearly each probe paid a handshake; strangers go first now. Half requests were given 20 s and silence for ever, both now 2.5 s. Answers to requests sent ahead piled up and recursed; the next one waits until the last answer has gone out. Each new test fails on the code before.

--- a/cmd/weldscale/main.go
+++ b/cmd/weldscale/main.go
@@ -151,7 +151,7 @@
 	if !s.closed && time.Since(s.stopping) >= openFor && time.Since(s.driver.LastAccept()) >= quietFor {
 		s.closed = true
 		s.driver.StopListening()
-		s.server.CloseIdle(1 << 30)
+		s.server.CloseIdle(1<<30, false)
 	}
 	if s.closed && s.e.Open() == 0 {
 		// The last answers are with the system; the exit must not overtake their way there.
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -152,6 +152,9 @@
 	p.buf = append(p.buf, b[:min(len(b), MaxHead+4-old)]...)
 	i := bytes.Index(p.buf[from:], headEnd)
 	if i < 0 {
+		if bareLineFeed(p.buf[from:]) { // the end that we look for may never come
+			return 0, fault(400, "bare line feed in a head")
+		}
 		if len(p.buf) > MaxHead {
 			return 0, fault(431, "head is longer than %d bytes", MaxHead)
 		}
@@ -164,6 +167,16 @@
 	return n, p.readHead(text)
 }
 
+// bareLineFeed reports whether a line of b, the first byte aside, ends without a carriage return.
+func bareLineFeed(b []byte) bool {
+	for i := 1; i < len(b); i++ {
+		if b[i] == '\n' && b[i-1] != '\r' {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Parser) readHead(text string) error {
 	start, rest, _ := strings.Cut(text, "\r\n")
 	minor, err := p.startLine(start)
@@ -222,20 +235,26 @@
 func (p *Parser) framing(minor byte) error {
 	m := &p.Msg
 	m.KeepAlive = minor >= '1'
-	length, chunked := int64(-1), false
+	length, coding := int64(-1), ""
 	for _, f := range m.Fields {
 		switch f.Name {
 		case "content-length":
 			n, err := strconv.ParseUint(f.Value, 10, 62)
-			if err != nil || length >= 0 && length != int64(n) {
+			if err != nil {
 				return fault(400, "malformed Content-Length")
 			}
+			if length >= 0 {
+				return fault(400, "more than one Content-Length")
+			}
 			length = int64(n)
 		case "transfer-encoding":
-			if chunked || !strings.EqualFold(f.Value, "chunked") {
-				return fault(501, "transfer coding is not chunked")
+			if coding != "" {
+				return fault(400, "more than one Transfer-Encoding")
+			}
+			coding = strings.ToLower(f.Value)
+			if coding == "" {
+				return fault(400, "empty Transfer-Encoding")
 			}
-			chunked = true
 		case "connection":
 			for word := range strings.SplitSeq(f.Value, ",") {
 				switch strings.ToLower(strings.Trim(word, " \t")) {
@@ -247,9 +266,12 @@
 			}
 		}
 	}
+	chunked := coding == "chunked"
 	switch {
-	case chunked && (length >= 0 || minor == '0'):
-		return fault(400, "both a length and chunks") // a way to smuggle a request past a front
+	case coding != "" && (length >= 0 || minor == '0'): // a way to smuggle a request past a front
+		return fault(400, "both a length and a transfer coding")
+	case coding != "" && !chunked:
+		return fault(501, "transfer coding is not chunked")
 	case p.response && m.Status < 200 && m.Status != 101:
 		p.Msg, p.state = Message{}, inHead // an interim response; the real one follows
 	case p.response && (m.Status == 204 || m.Status == 304):
@@ -357,7 +379,7 @@
 
 func isTarget(s string) bool {
 	for i := 0; i < len(s); i++ {
-		if s[i] <= ' ' || s[i] == 0x7f {
+		if s[i] <= ' ' || s[i] >= 0x7f { // readers differ on what is not ASCII; none must close on what we pass on
 			return false
 		}
 	}
@@ -365,7 +387,7 @@
 }
 
 var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-	413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
+	408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
 	500: "Internal Server Error", 501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable",
 	505: "HTTP Version Not Supported"}
 
--- a/internal/jobs/client.go
+++ b/internal/jobs/client.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"bytes"
 	"cmp"
 	"errors"
 	"hash/fnv"
@@ -19,13 +20,19 @@
 // must answer each request whole and once, and must never close a connection that holds an accepted one.
 
 const (
-	maxAhead  = 16 << 10         // bytes that a client may send ahead of its answer
-	sentAgo   = time.Millisecond // about what a request is on its way: its budget counts from its sending
-	maxBudget = 24 * time.Hour
-	maxSlots  = 1 << 20
-	slowest   = 20 * time.Second // for a request to come in whole
+	maxAhead      = 16 << 10         // bytes that a client may send ahead of its answer
+	sentAgo       = time.Millisecond // about what a request is on its way: its budget counts from its sending
+	maxBudget     = 24 * time.Hour
+	maxSlots      = 1 << 20
+	slowest       = 2500 * time.Millisecond // for a request to come in whole, the first one since the connection came
+	longestMethod = 16
+	maxWord       = 256  // of an id or a key
+	maxIDs        = 4096 // of requests answered lately
 )
 
+// crossing is how long a first request may lag behind its connection, well above what a network takes.
+const crossing = 100 * time.Millisecond
+
 // Server makes requests of what clients send.
 type Server struct {
 	Engine  *engine.Engine
@@ -38,12 +45,15 @@
 	closing bool
 	idle    map[*client]struct{} // connections between two requests
 	turn    uint64               // counts the times that one became so
+	ids     map[string]struct{}  // of the requests that are open or were answered lately
+	lately  []string             // the latter, a ring
+	oldest  int                  // of the ring
 }
 
 // NewServer returns a server of the engine's requests; the classes are named in the order of the settings.
 func NewServer(e *engine.Engine, classes []string) *Server {
 	s := &Server{Engine: e, Classes: map[string]int{}, Ready: e.Ready, Stats: e.Counts.String,
-		idle: map[*client]struct{}{}}
+		idle: map[*client]struct{}{}, ids: map[string]struct{}{}}
 	for i, name := range classes {
 		s.Classes[name] = i
 	}
@@ -52,28 +62,46 @@
 
 // Serve takes over a new connection of a client.
 func (s *Server) Serve(c Conn) {
-	x := &client{s: s, conn: c, parser: http1.NewRequestParser()}
+	x := &client{s: s, conn: c, parser: http1.NewRequestParser(), came: s.Engine.Now()}
 	s.rest(x)
+	x.slow = s.Engine.After(slowest, x.tooSlow)
 	c.SetHandler(x)
 }
 
 // Closing makes every answer from here on its connection's last.
 func (s *Server) Closing() { s.closing = true }
 
-// CloseIdle closes up to n connections that are between two requests, the longest idle first, and returns how
-// many. On one that has just come or just been answered the next request may be on its way.
-func (s *Server) CloseIdle(n int) int {
-	var idle []*client
+// CloseIdle closes up to n connections that are between two requests and returns how many; with strangers only
+// those that never brought a job. Strangers go first, then the longest idle. On a connection that has just come
+// the first request may be on its way, and its client would take the close for a failure: those go last.
+func (s *Server) CloseIdle(n int, strangers bool) int {
+	type candidate struct {
+		x    *client
+		rank int
+	}
+	var idle []candidate
+	now := s.Engine.Now()
 	for x := range s.idle {
-		if x.parser.Idle() {
-			idle = append(idle, x)
+		rank := 0
+		switch {
+		case !x.parser.Idle():
+			continue
+		case x.known:
+			rank = 1
+		case now-x.came < int64(crossing/time.Microsecond):
+			rank = 2
+		}
+		if rank == 0 || !strangers {
+			idle = append(idle, candidate{x, rank})
 		}
 	}
-	slices.SortFunc(idle, func(a, b *client) int { return cmp.Compare(a.since, b.since) })
+	slices.SortFunc(idle, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.x.since, b.x.since))
+	})
 	idle = idle[:min(n, len(idle))]
-	for _, x := range idle {
-		delete(s.idle, x)
-		x.conn.Close()
+	for _, c := range idle {
+		c.x.end()
+		c.x.conn.Close()
 	}
 	return len(idle)
 }
@@ -84,35 +112,27 @@
 	s.idle[x] = struct{}{}
 }
 
-// client is one connection. It holds one request at a time; what comes ahead of an answer waits.
+// client is one connection. It holds one request at a time; what comes ahead of an answer waits until that has
+// gone out, so that a client that sends and does not read can't pile up answers here.
 type client struct {
 	s         *Server
 	conn      Conn
 	parser    *http1.Parser
 	ahead     []byte
 	request   *engine.Request
-	busy      bool // a request is in hand
+	id        string // of the request in hand, while it is a job
+	busy      bool   // a request is in hand or its answer on the way out
 	over      bool
 	keepAlive bool
 	continued bool
+	known     bool          // it brought a job
+	came      decide.Time   // when the connection did
 	since     uint64        // the server's turn when it last became idle
 	slow      *engine.Timer // runs while a request is coming in
 }
 
 // Data implements Handler.
 func (x *client) Data(b []byte) {
-	if x.over {
-		return
-	}
-	if x.busy {
-		if len(x.ahead)+len(b) > maxAhead {
-			// Nothing that is in hand may be lost: the answer comes, then the connection ends.
-			x.keepAlive = false
-			return
-		}
-		x.ahead = append(x.ahead, b...)
-		return
-	}
 	for len(b) > 0 && !x.busy && !x.over {
 		n, whole, err := x.parser.Feed(b)
 		b = b[n:]
@@ -120,9 +140,11 @@
 			x.reject(err)
 			return
 		}
+		if whole && !startsRequest(b) {
+			x.reject(errors.New("bytes after a request that start no other"))
+			return
+		}
 		if whole {
-			x.ahead = append(x.ahead, b...)
-			b = nil
 			x.take()
 			continue
 		}
@@ -134,23 +156,56 @@
 			x.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"), nil)
 		}
 	}
+	switch {
+	case x.over || len(b) == 0:
+	case len(x.ahead)+len(b) > maxAhead:
+		x.keepAlive = false // nothing that is in hand may be lost: the answer comes, then the connection ends
+	default:
+		x.ahead = append(x.ahead, b...)
+	}
+}
+
+// startsRequest reports whether what follows a request can be the next. Where it can't, the length of the first
+// is in doubt too, and so is what a worker would make of it.
+func startsRequest(b []byte) bool {
+	b = bytes.TrimLeft(b, "\r\n")
+	for i, c := range b[:min(len(b), longestMethod+1)] {
+		if c == ' ' && i > 0 {
+			return true
+		}
+		if c < 'A' || c > 'Z' {
+			return false
+		}
+	}
+	return len(b) <= longestMethod
 }
 
-// tooSlow ends a connection whose request does not get on: half requests must not hold descriptors for good.
+// tooSlow ends a connection on which no whole request came in time: neither silence nor half a request may hold a
+// descriptor for good.
 func (x *client) tooSlow() {
-	if !x.over && !x.busy {
-		x.over = true
-		delete(x.s.idle, x)
+	switch {
+	case x.over || x.busy:
+	case x.parser.Idle():
+		x.end()
 		x.conn.Close()
+	default:
+		x.keepAlive = false
+		x.refuseInput(408, "request did not come in whole")
 	}
 }
 
-// Closed implements Handler.
-func (x *client) Closed() {
+// end takes the connection out of the books.
+func (x *client) end() {
 	x.over = true
 	x.slow.Stop()
 	delete(x.s.idle, x)
+}
+
+// Closed implements Handler.
+func (x *client) Closed() {
+	x.end()
 	if x.request != nil {
+		x.s.release(x)
 		x.s.Engine.Hangup(x.request)
 	}
 }
@@ -196,10 +251,41 @@
 		return
 	}
 	c := &call{method: m.Method, target: m.Target, id: m.Get("x-call-id"), key: m.Get("idempotency-key"), body: m.Body}
-	x.request = x.s.Engine.Submit(j, c, x)
-	if !x.busy { // answered already
-		x.request = nil
+	if !x.s.claim(x, c.id) {
+		x.refuseInput(409, "call id is in use")
+		return
+	}
+	x.known = true
+	r := x.s.Engine.Submit(j, c, x)
+	if x.id != "" { // not answered already
+		x.request = r
+	}
+}
+
+// claim takes the id of a request that is to become a job. Every request has a fresh one: a second job under the
+// id of one that is open, or was until just now, would end in the other's answer or run its work twice.
+func (s *Server) claim(x *client, id string) bool {
+	if _, taken := s.ids[id]; taken {
+		return false
+	}
+	s.ids[id] = struct{}{}
+	x.id = id
+	return true
+}
+
+// release lets go of the id in hand; it stays known until maxIDs others have followed.
+func (s *Server) release(x *client) {
+	if x.id == "" {
+		return
+	}
+	if len(s.lately) < maxIDs {
+		s.lately = append(s.lately, x.id)
+	} else {
+		delete(s.ids, s.lately[s.oldest])
+		s.lately[s.oldest] = x.id
+		s.oldest = (s.oldest + 1) % maxIDs
 	}
+	x.id = ""
 }
 
 func (x *client) serveOwn(method, path string) {
@@ -226,6 +312,9 @@
 
 // job reads what the decisions need to know, or says what is wrong.
 func (s *Server) job(m *http1.Message, path string) (j decide.Job, why string) {
+	if name := repeated(m); name != "" {
+		return j, "more than one " + name
+	}
 	class, ok := s.Classes[m.Get("x-call-class")]
 	if !ok {
 		return j, "unknown class"
@@ -234,8 +323,10 @@
 	if !ok {
 		return j, "bad budget"
 	}
-	if m.Get("x-call-id") == "" {
+	if id := m.Get("x-call-id"); id == "" {
 		return j, "no call id"
+	} else if key := m.Get("idempotency-key"); !isPlain(id) || !isPlain(key) {
+		return j, "bad call id or key"
 	}
 	h := fnv.New64a()
 	h.Write([]byte(path[strings.LastIndexByte(path, '/')+1:]))
@@ -259,6 +350,26 @@
 	return j, ""
 }
 
+// repeated names a field that may stand but once and does not: which one counts, the next reader may see otherwise.
+func repeated(m *http1.Message) string {
+	for i, f := range m.Fields {
+		switch f.Name {
+		case "host", "idempotency-key", "x-call-id", "x-call-class", "x-budget", "x-call-cost", "x-call-info":
+			for _, g := range m.Fields[:i] {
+				if g.Name == f.Name {
+					return f.Name
+				}
+			}
+		}
+	}
+	return ""
+}
+
+// isPlain reports whether an id or key can be passed on: short and printable, or empty.
+func isPlain(s string) bool {
+	return len(s) <= maxWord && !strings.ContainsFunc(s, func(r rune) bool { return r < ' ' || r > '~' })
+}
+
 // parseBudget reads a number with a unit: m milliseconds, u microseconds.
 func parseBudget(text string) (time.Duration, bool) {
 	if text == "" {
@@ -301,18 +412,39 @@
 		return
 	}
 	keep := x.keepAlive && !x.s.closing
-	x.conn.Write(http1.AppendResponse(nil, status, keep, body, fields...), nil)
-	x.request, x.busy = nil, false
+	x.request, x.busy = nil, true
+	x.s.release(x)
+	x.slow.Stop()
+	x.slow = nil
+	b := http1.AppendResponse(nil, status, keep, body, fields...)
 	if !keep {
-		x.over = true
-		delete(x.s.idle, x)
+		x.end()
+		x.conn.Write(b, nil)
 		x.conn.CloseAfterWrite()
 		return
 	}
+	x.conn.Write(b, x.answered)
+}
+
+// answered goes on to the next request once an answer has gone out.
+func (x *client) answered(end WriteEnd) {
+	if x.over {
+		return
+	}
+	if end != Written { // what the client has got of it can't be told from the next answer
+		x.end()
+		x.conn.Close()
+		return
+	}
+	if !x.keepAlive { // some of what came ahead was passed over meanwhile
+		x.end()
+		x.conn.CloseAfterWrite()
+		return
+	}
+	x.busy = false
 	x.parser.Reset()
 	x.s.rest(x)
-	if next := x.ahead; len(next) > 0 {
-		x.ahead = nil
-		x.Data(next)
-	}
+	next := x.ahead
+	x.ahead = nil
+	x.Data(next)
 }
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -22,6 +22,7 @@
 	handler Handler
 	out     string
 	done    func(WriteEnd)
+	prompt  bool // writes end at once
 	closed  bool
 }
 
@@ -29,6 +30,9 @@
 func (c *fakeConn) Write(b []byte, done func(WriteEnd)) {
 	c.out += string(b)
 	c.done = done
+	if c.prompt && done != nil {
+		done(Written)
+	}
 }
 func (c *fakeConn) Close()           { c.closed = true }
 func (c *fakeConn) CloseAfterWrite() { c.closed = true }
@@ -102,7 +106,7 @@
 
 // client opens a connection of a client.
 func (b *bench) client() *fakeConn {
-	c := &fakeConn{}
+	c := &fakeConn{prompt: true}
 	b.server.Serve(c)
 	return c
 }
@@ -261,6 +265,9 @@
 		"bad budget":    {head + "X-Budget: 5s\r\n\r\n", 400, false},
 		"vast budget":   {head + "X-Budget: 1e300m\r\n\r\n", 400, false},
 		"no id":         {"POST /a HTTP/1.1\r\nX-Call-Class: send\r\nX-Budget: 5m\r\n\r\n", 400, false},
+		"id twice":      {head + "X-Call-Id: 9c\r\nX-Budget: 5m\r\n\r\n", 400, false},
+		"budget twice":  {head + "X-Budget: 5m\r\nX-Budget: 5m\r\n\r\n", 400, false},
+		"id not ASCII":  {"POST /a HTTP/1.1\r\nX-Call-Id: \xff\r\nX-Call-Class: send\r\nX-Budget: 5m\r\n\r\n", 400, false},
 		"too late":      {head + "X-Budget: 5m\r\n\r\n", 503, false},
 	} {
 		for _, size := range []int{1 << 20, 1} {
@@ -275,10 +282,103 @@
 	}
 	b := newBench(t)
 	x := b.client()
+	x.handler.Data([]byte(head + "X-Budget: 8000m\r\nContent-Length: 2\r\n\r\nhi there"))
+	assert.Contains(t, x.out, "HTTP/1.1 400 ", "its length is in doubt")
+	assert.True(t, x.closed)
+	assert.Empty(t, b.pushed, "nothing of it is passed on")
+	x = b.client()
 	x.handler.Data([]byte(head + "X-Budget: 5m\r\n\r\n"))
 	assert.Contains(t, x.out, "Retry-After: 1.500\r\n", "as long as the settings allow")
 }
 
+// Silent clients by hundreds once pushed out those that work with us, and the connections to workers too. They go
+// first themselves, but for one that has just come, on which the first request may be under way.
+func TestStrangersGoFirst(t *testing.T) {
+	b := newBench(t)
+	silent, asked, works, young := b.client(), b.client(), b.client(), b.client()
+	asked.handler.Data([]byte("GET /-/ready HTTP/1.1\r\n\r\n"))
+	works.handler.Data([]byte(head + "X-Budget: 8000m\r\n\r\n"))
+	b.pushed[0].End(decide.Served, []byte("x"), decide.Report{})
+	for _, c := range []*fakeConn{silent, asked} {
+		c.handler.(*client).came -= int64(time.Minute / time.Microsecond)
+	}
+	closed := func() (out []bool) {
+		for _, c := range []*fakeConn{silent, asked, works, young} {
+			out = append(out, c.closed)
+		}
+		return out
+	}
+	assert.Equal(t, 2, b.server.CloseIdle(9, true))
+	assert.Equal(t, []bool{true, true, false, false}, closed())
+	assert.Equal(t, 1, b.server.CloseIdle(1, false))
+	assert.Equal(t, []bool{true, true, true, false}, closed())
+}
+
+// A client is owed an answer or a close soon after it connects, whole request or not; between requests it is not
+// hurried.
+func TestSlowClients(t *testing.T) {
+	b := newBench(t)
+	silent, half, works := b.client(), b.client(), b.client()
+	half.handler.Data([]byte("POST /api HTTP/1.1\r\nX-Ca"))
+	works.handler.Data([]byte(head + "X-Budget: 8000m\r\n\r\n"))
+	for _, c := range []*fakeConn{silent, half, works} {
+		x := c.handler.(*client)
+		assert.Equal(t, c != works, x.slow != nil)
+		x.tooSlow() // as the timer would, had it not been stopped
+	}
+	assert.True(t, silent.closed)
+	assert.Empty(t, silent.out)
+	assert.True(t, half.closed)
+	assert.Contains(t, half.out, "HTTP/1.1 408 ")
+	assert.False(t, works.closed)
+	b.pushed[0].End(decide.Served, []byte("x"), decide.Report{})
+	assert.False(t, works.closed)
+	assert.Nil(t, works.handler.(*client).slow, "between requests no time runs")
+	assert.Less(t, slowest, 3*time.Second)
+}
+
+// A second job under the id of another would end in its answer, or run its work twice.
+func TestCallIDsAreUsedOnce(t *testing.T) {
+	b := newBench(t)
+	first, second := b.client(), b.client()
+	first.handler.Data([]byte(head + "X-Budget: 8000m\r\n\r\n"))
+	second.handler.Data([]byte(head + "X-Budget: 8000m\r\n\r\n"))
+	assert.Contains(t, second.out, "HTTP/1.1 409 ")
+	assert.Len(t, b.pushed, 1)
+	b.pushed[0].End(decide.Served, []byte("x"), decide.Report{})
+	assert.Contains(t, first.out, "HTTP/1.1 200 ")
+	second.out = ""
+	second.handler.Data([]byte(head + "X-Budget: 8000m\r\n\r\n"))
+	assert.Contains(t, second.out, "HTTP/1.1 409 ", "just answered")
+	for i := range 2 * maxIDs {
+		b.server.claim(&client{}, fmt.Sprint(i))
+		b.server.release(&client{id: fmt.Sprint(i)})
+	}
+	assert.Len(t, b.server.ids, maxIDs)
+	second.handler.Data([]byte(head + "X-Budget: 8000m\r\n\r\n"))
+	assert.Len(t, b.pushed, 2, "long ago")
+}
+
+// The next request waits until the answer before it has gone out: answers do not pile up for one who does not read.
+func TestAnswersDoNotPileUp(t *testing.T) {
+	b := newBench(t)
+	x := b.client()
+	x.prompt = false
+	for range 1000 {
+		x.handler.Data([]byte("GET /nowhere HTTP/1.1\r\n\r\n"))
+	}
+	assert.Equal(t, 1, strings.Count(x.out, "HTTP/1.1 404"))
+	for !x.closed {
+		x.done(Written)
+	}
+	assert.Less(t, strings.Count(x.out, "HTTP/1.1 404"), 1000, "what came too far ahead is passed over, and that is the end")
+	x = b.client()
+	x.prompt = false
+	x.handler.Data([]byte("GET /nowhere HTTP/1.1\r\n\r\n"))
+	x.done(Unsure)
+	assert.True(t, x.closed, "half an answer may have gone out")
+}
+
 // Requests sent ahead wait for their turn and are answered in order.
 func TestPipelining(t *testing.T) {
 	b := newBench(t)
@@ -294,7 +394,7 @@
 	b := newBench(t)
 	conns := []*fakeConn{b.client(), b.client(), b.client(), b.client()}
 	conns[0].handler.Data([]byte("GET /-/ready HTTP/1.1\r\n\r\n")) // just answered
-	assert.Equal(t, 2, b.server.CloseIdle(2))
+	assert.Equal(t, 2, b.server.CloseIdle(2, false))
 	for i, want := range []bool{false, true, true, false} {
 		assert.Equal(t, want, conns[i].closed, i)
 	}
@@ -307,7 +407,7 @@
 	busy.handler.Data([]byte(head + "X-Budget: 8000m\r\n\r\n"))
 	half.handler.Data([]byte("POST /a HT"))
 	b.server.Closing()
-	assert.Equal(t, 1, b.server.CloseIdle(10))
+	assert.Equal(t, 1, b.server.CloseIdle(10, false))
 	assert.True(t, idle.closed)
 	assert.False(t, busy.closed || half.closed, "one holds a request, on the other one is coming in")
 	b.pushed[0].End(decide.Served, []byte("x"), decide.Report{})
--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -50,8 +50,9 @@
 
 	// Accepted takes over a client's connection.
 	Accepted func(jobs.Conn)
-	// ShedIdle closes up to n idle connections of clients and returns how many.
-	ShedIdle func(n int) int
+	// ShedIdle closes up to n idle connections of clients and returns how many; with strangers only those of
+	// clients that have brought nothing to do.
+	ShedIdle func(n int, strangers bool) int
 	// Counted is told of dials and of shed connections.
 	Counted func(dials, failed, shed int)
 
@@ -409,17 +410,19 @@
 	}
 }
 
-// makeRoom sheds idle connections once the budget of descriptors runs short: a worker's first, since a new
-// one only costs time, then those of clients.
+// makeRoom sheds idle connections once the budget of descriptors runs short: first those of clients that only sit
+// there, then those to workers, since a new one costs no more than time, then those of clients that work with us.
 func (d *Driver) makeRoom() {
 	over := int(d.open.Load() - (d.room.Load() - margin))
-	shed := 0
-	for ; over > 0 && len(d.idle) > 0; over-- {
+	if over <= 0 {
+		return
+	}
+	shed := d.ShedIdle(over, true)
+	for ; shed < over && len(d.idle) > 0; shed++ {
 		d.idle[0].Close()
-		shed++
 	}
-	if over > 0 {
-		shed += d.ShedIdle(over)
+	if shed < over {
+		shed += d.ShedIdle(over-shed, false)
 	}
 	if shed > 0 {
 		d.Counted(0, 0, shed)
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -27,7 +27,7 @@
 	g := &rig{t: t, loop: engine.NewLoop(), dead: make(chan struct{}, 1000)}
 	g.d = New(g.loop, c)
 	g.d.Counted = func(int, int, int) {}
-	g.d.ShedIdle = func(int) int { return 0 }
+	g.d.ShedIdle = func(int, bool) int { return 0 }
 	end := make(chan struct{})
 	go func() { g.loop.Run(); close(end) }()
 	t.Cleanup(func() { g.loop.Post(g.loop.Stop); <-end })
@@ -151,7 +151,10 @@
 	g := newRig(t, Config{Descriptors: reserved + margin + room, IdleLimit: time.Hour})
 	var accepted []jobs.Conn
 	g.d.Accepted = func(c jobs.Conn) { c.SetHandler(g); accepted = append(accepted, c) }
-	g.d.ShedIdle = func(n int) int {
+	g.d.ShedIdle = func(n int, strangers bool) int {
+		if strangers {
+			return 0
+		}
 		n = min(n, max(0, len(accepted)-1)) // several may be open before the first is handed over
 		for _, c := range accepted[:n] {
 			c.Close()
