Draw no worker seen full in the last 150 ms; a job fits from half a slot less than it needs

Causes: hold() redraws from workers that a probe has just shown full, and room() asked four-slot jobs for 3.88 free slots of 4, where reports are off by up to a fifth, so that every other idle worker was passed over.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -13,6 +13,7 @@
 	backoffMin   = 15 * ms    // a first no is often the bad luck of one pair
 	backoffMax   = 120 * ms   // by then the fleet is busy, and asking more often only costs it work
 	reportLag    = 250 * ms   // a report may not show a push younger than this
+	tightSpan    = 150 * ms   // a worker seen full frees a slot in some hundreds of ms
 	startSoon    = 100 * ms   // a job not started by then met a slot that was not free
 	ejectFirst   = 4000 * ms  // the first term: a stumble is often over by then
 	ejectMax     = 20000 * ms // long enough to be rid of it, short enough to notice its return
@@ -160,13 +161,13 @@
 		pool = d.near
 	}
 	for i := 0; i < drawTries && len(pool) > 0; i++ {
-		if w := pool[d.rng.IntN(len(pool))]; w != other && d.usable(j, w) && d.admit(j, w) {
+		if w := pool[d.rng.IntN(len(pool))]; w != other && d.usable(j, w) && !d.tight(j, w) && d.admit(j, w) {
 			return w
 		}
 	}
 	d.scratch = d.scratch[:0]
 	for _, w := range d.ready {
-		if w != other && d.warmth(w) >= 1 && d.usable(j, w) {
+		if w != other && d.warmth(w) >= 1 && d.usable(j, w) && !d.tight(j, w) {
 			d.scratch = append(d.scratch, w)
 		}
 	}
@@ -184,6 +185,12 @@
 		(j.class.Kind < 0 || j.class.Kind == w.Kind) && d.mayRepeat(j, w)
 }
 
+// tight tells whether w was seen too full for j a moment ago: it will hardly be otherwise yet, and to ask again
+// costs it work.
+func (d *Dispatcher) tight(j *job, w *worker) bool {
+	return d.now < w.tightUntil && j.Slots >= w.tightFor
+}
+
 // mayRepeat keeps the effect rule: what may have run goes again only where a repeat does no harm.
 func (d *Dispatcher) mayRepeat(j *job, w *worker) bool {
 	for i := range j.attempts {
@@ -248,6 +255,9 @@
 		}
 		slow := d.slowness(w, j.echo[i])
 		r, fits := d.room(j, w, j.load[i])
+		if !fits {
+			w.tightUntil, w.tightFor = d.now+tightSpan, j.Slots
+		}
 		r.FreeSlots /= slow * slow // a slow one keeps what it has for longer
 		if fits && d.inTime(j, slow) && (best == nil || lighter(w, r, best, bestLoad)) {
 			best, bestLoad = w, r
@@ -339,7 +349,7 @@
 	need := j.Slots
 	switch {
 	case r.Has&HasFreeSlots != 0:
-		return r, r.FreeSlots > need-0.5/need && (r.Has&HasFreeMemory == 0 || r.FreeMemory >= j.Memory)
+		return r, r.FreeSlots > need-0.5 && (r.Has&HasFreeMemory == 0 || r.FreeMemory >= j.Memory)
 	case r.Has&HasQueue != 0:
 		r.FreeSlots = -r.Queue
 		return r, r.Queue < 1
--- a/decide/state.go
+++ b/decide/state.go
@@ -24,6 +24,9 @@
 	creditAt  Time
 	late      int  // own attempts whose start is overdue
 	fullUntil Time // turned a job away
+
+	tightUntil Time    // a probe showed no room ...
+	tightFor   float64 // ... for a job of that many slots
 }
 
 type claim struct {
