Ask no worker that our own jobs fill; an idle one has all its slots, whatever the noise

Seen: with 2 to 5 schedulers each knows a good part of what a worker runs, and still asked it for room.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -13,7 +13,8 @@
 	backoffMin   = 15 * ms    // a first no is often the bad luck of one pair
 	backoffMax   = 120 * ms   // by then the fleet is busy, and asking more often only costs it work
 	reportLag    = 250 * ms   // a report may not show a push younger than this
-	tightSpan    = 150 * ms   // a worker seen full frees a slot in some hundreds of ms
+	tightSpan    = 150 * ms   // a full worker frees a slot in some hundreds of ms, and asking costs it work
+	sizeNoise    = 0.75       // a worker's size is known from noisy reports
 	startSoon    = 100 * ms   // a job not started by then met a slot that was not free
 	ejectFirst   = 4000 * ms  // the first term: a stumble is often over by then
 	ejectMax     = 20000 * ms // long enough to be rid of it, short enough to notice its return
@@ -185,10 +186,11 @@
 		(j.class.Kind < 0 || j.class.Kind == w.Kind) && d.mayRepeat(j, w)
 }
 
-// tight tells whether w was seen too full for j a moment ago: it will hardly be otherwise yet, and to ask again
-// costs it work.
+// tight tells whether asking w for room for j would waste its work and the price of a probe: it was seen too
+// full a moment ago, or our own jobs there leave too little.
 func (d *Dispatcher) tight(j *job, w *worker) bool {
-	return d.now < w.tightUntil && j.Slots >= w.tightFor
+	full := d.now < w.tightUntil && j.Slots >= w.tightFor
+	return full || w.size > 0 && w.held+j.Slots > w.size+sizeNoise
 }
 
 // mayRepeat keeps the effect rule: what may have run goes again only where a repeat does no harm.
@@ -337,6 +339,9 @@
 // room takes our own pushes that the report can't show yet off what it shows, and tells whether j fits.
 // A worker's own queue is blind, so a job without room waits here, where the next draw may do better.
 func (d *Dispatcher) room(j *job, w *worker, r Report) (Report, bool) {
+	if r.Has&HasInFlight != 0 && r.InFlight == 0 { // noise does not make nothing into something
+		r.FreeSlots = max(r.FreeSlots, w.size)
+	}
 	keep := w.recent[:0]
 	for _, c := range w.recent {
 		if d.now-c.at < max(reportLag, d.lag) {
@@ -379,6 +384,7 @@
 	j.attempts = append(j.attempts, attempt{w: w, sent: d.now, out: true, mayHaveRun: true})
 	j.out++
 	w.out++
+	w.held += j.Slots
 	w.recent = append(w.recent, claim{d.now, j.Slots, j.Memory})
 	d.pushed += float64(j.work) * j.Slots
 	d.act.Push(j.ID, w.ID, j.GiveUpAt-d.now)
@@ -559,6 +565,12 @@
 		d.lag = Time(d.looked / d.changed)
 	}
 	w.shown, w.shownAt = r, d.now
+	if r.Has&HasInFlight != 0 && r.Has&HasFreeSlots != 0 && r.InFlight == 0 { // idle: all its slots are free
+		if w.size == 0 {
+			w.size = r.FreeSlots
+		}
+		w.size += learnRate * (r.FreeSlots - w.size)
+	}
 }
 
 // onTime ends the wait for a start note, and what was held against the worker for it.
--- a/decide/events.go
+++ b/decide/events.go
@@ -70,6 +70,7 @@
 	a.out, a.mayHaveRun = false, !o.Status.NeverRan()
 	j.out--
 	a.w.out--
+	a.w.held -= j.Slots
 	a.onTime()
 	d.judge(j, a, o.Status)
 	d.drop(a.w)
--- a/decide/state.go
+++ b/decide/state.go
@@ -12,6 +12,8 @@
 	Worker
 	listed    bool
 	out       int     // own attempts not yet ended
+	held      float64 // the slots that those need
+	size      float64 // its slots, as it shows when idle; 0: not seen yet
 	recent    []claim // own pushes that its reports may not show yet
 	probes    []probe // sent and not answered
 	badUntil  Time    // ejected until then
