Tell dead connections from sick workers; jobs to run once get a fresh connection

A probe without a byte of an answer is asked once more on a fresh connection, at once if it broke, after 150 ms if it is silent; so is a job of which the last byte has surely not left. Jobs that must not run twice get a fresh connection from the start. One broken attempt ejects nobody, a second one before the worker serves does.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -458,6 +458,7 @@
 	switch s {
 	case Served:
 		a.w.level /= 2
+		a.w.broken = false
 		from := a.startedAt
 		if !a.started {
 			from = a.sent
@@ -467,7 +468,12 @@
 		a.w.fullUntil = d.now + reportLag
 		d.busy += fullCounts * (1 - d.busy) // true whatever late reports show
 		d.reprice(true)
-	case Error, Reset, ConnectFailed:
+	case Reset: // one connection may break on a sound worker; a second one before it serves again is no chance
+		if a.w.broken {
+			d.eject(a.w)
+		}
+		a.w.broken = true
+	case Error, ConnectFailed:
 		d.eject(a.w)
 	}
 }
--- a/decide/failures_test.go
+++ b/decide/failures_test.go
@@ -354,3 +354,19 @@
 		t.Errorf("probes %+v", p)
 	}
 }
+
+// Connections that break now and then once put a good part of a sound fleet out of the draws.
+func TestOneBrokenConnectionEjectsNobody(t *testing.T) {
+	d, r := newNode(t, testSettings(), fleet(4)...)
+	w := d.workers[pushTo(t, d, r, 1)]
+	d.Outcome(start+2*ms, Outcome{Job: 1, Worker: w.ID, Status: Reset})
+	if w.badUntil > d.now {
+		t.Error("ejected for one")
+	}
+	j := d.newJob(Job{ID: 2, Class: 1, GiveUpAt: start + 5*second})
+	d.push(j, w)
+	d.Outcome(start+3*ms, Outcome{Job: 2, Worker: w.ID, Status: Reset})
+	if w.badUntil <= d.now {
+		t.Error("two in a row are no chance")
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -17,6 +17,7 @@
 	recent    []claim // own pushes that its reports may not show yet
 	probes    []probe // sent and not answered
 	badUntil  Time    // ejected until then
+	broken    bool    // the last attempt there broke off
 	level     int     // grows the next term of ejection
 	credit    float64 // work that this node may still send it while it is cold
 	shown     Report  // its last report
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -94,6 +94,7 @@
 	Counts Counts
 
 	d        *decide.Dispatcher
+	classes  []decide.Class
 	workers  Workers
 	list     Directory
 	zones    map[string]int
@@ -118,7 +119,7 @@
 
 // New returns an engine that knows no worker yet. Use sets the ways out.
 func New(loop *Loop, c Config) (*Engine, error) {
-	e := &Engine{Loop: loop, zones: numbered(c.Zones), kinds: numbered(c.Kinds), byName: map[string]*Worker{},
+	e := &Engine{Loop: loop, classes: c.Settings.Classes, zones: numbered(c.Zones), kinds: numbered(c.Kinds), byName: map[string]*Worker{},
 		byID: map[decide.WorkerID]*Worker{}, requests: map[uint32]*Request{}}
 	loop.lag = &e.Counts.Lag
 	var err error
@@ -140,6 +141,9 @@
 // Open returns how many requests wait for their final answer.
 func (e *Engine) Open() int { return e.open }
 
+// Class is what is known of a class, by its number.
+func (e *Engine) Class(i int) decide.Class { return e.classes[i] }
+
 // Ready reports whether there has been a worker to serve with: the front may send clients from then on.
 func (e *Engine) Ready() bool { return e.listed }
 
--- a/internal/jobs/client.go
+++ b/internal/jobs/client.go
@@ -250,7 +250,8 @@
 		x.refuseInput(400, why)
 		return
 	}
-	c := &call{method: m.Method, target: m.Target, id: m.Get("x-call-id"), key: m.Get("idempotency-key"), body: m.Body}
+	c := &call{method: m.Method, target: m.Target, id: m.Get("x-call-id"), key: m.Get("idempotency-key"), body: m.Body,
+		once: x.s.Engine.Class(j.Class).Effect == decide.Unsafe}
 	if !x.s.claim(x, c.id) {
 		x.refuseInput(409, "call id is in use")
 		return
--- a/internal/jobs/discovery.go
+++ b/internal/jobs/discovery.go
@@ -139,7 +139,7 @@
 		hold = firstHold
 	}
 	x.timer = d.Engine.After(hold+patience, func() { x.end(nil, "no answer") })
-	x.giveUp = d.Dialer.Get(x.addr, func(c Conn) {
+	x.giveUp = d.Dialer.Get(x.addr, false, func(c Conn) {
 		x.giveUp = nil
 		if x.over {
 			if c != nil {
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -1,7 +1,8 @@
 // Package jobs gives PROTOCOL's HTTP messages their meaning: a client's request, an attempt on a worker, a
 // probe, the watch on the worker list. It owns headers, paths, JSON forms and the mapping of what comes back
 // to outcomes. It must never open a socket (connections come from a Dialer and are fed bytes by the
-// driver), never resend anything by itself, and never choose a worker. All of it runs on the engine's loop.
+// driver), never send a job again of which a byte may have arrived, and never choose a worker. All of it runs on
+// the engine's loop.
 package jobs
 
 import (
@@ -46,9 +47,9 @@
 
 // Dialer hands out connections for one exchange each.
 type Dialer interface {
-	// Get calls ready with a connection, an idle one if there is one, or with nil if none came up in time.
-	// It may do so before it returns. The returned function gives up the wait.
-	Get(addr string, ready func(Conn)) (giveUp func())
+	// Get calls ready with a connection, an idle one if there is one and fresh is false, or with nil if none came
+	// up in time. It may do so before it returns. The returned function gives up the wait.
+	Get(addr string, fresh bool, ready func(Conn)) (giveUp func())
 	// Put takes back a connection on which an exchange ended cleanly.
 	Put(addr string, c Conn)
 }
@@ -102,6 +103,7 @@
 type call struct {
 	method, target, id, key string
 	body                    []byte
+	once                    bool // it must never run twice
 }
 
 // warnings bounds how often each warning is logged: bad input must not fill the log, nor hide other faults.
--- a/internal/jobs/worker.go
+++ b/internal/jobs/worker.go
@@ -16,8 +16,9 @@
 
 const (
 	probeTimeout = 500 * time.Millisecond
-	tailWait     = time.Second // for the end of a response whose last line has come
-	maxResult    = 256 << 10   // one line of a worker
+	probeAgain   = 150 * time.Millisecond // without an answer the connection may be dead, and the worker well
+	tailWait     = time.Second            // for the end of a response whose last line has come
+	maxResult    = 256 << 10              // one line of a worker
 )
 
 // Workers implements engine.Workers over HTTP.
@@ -38,6 +39,7 @@
 	parser   *http1.Parser
 	written  bool
 	early    bool // closed before the write's end was known
+	again    bool // on its second connection
 	over     bool
 	attempt  *engine.Attempt
 	probe    *engine.Probe
@@ -73,12 +75,37 @@
 func (w *Workers) Probe(p *engine.Probe) {
 	x := w.exchange(p.Worker)
 	x.probe = p
-	x.timer = w.Engine.After(probeTimeout, func() { x.end(decide.TimedOut) })
+	x.timer = w.Engine.After(probeAgain, func() {
+		x.timer = w.Engine.After(probeTimeout-probeAgain, func() { x.end(decide.TimedOut) })
+		if x.conn != nil && x.parser.Idle() {
+			x.reconnect()
+		}
+	})
 	x.connect()
 }
 
+// connect asks for a connection. One that was kept from an earlier exchange may have died unseen; what becomes of
+// a job that breaks with it stays unknown, so that a job that must not run twice gets a fresh one.
 func (x *exchange) connect() {
-	x.giveUp = x.w.Dialer.Get(x.addr, x.connected)
+	fresh := x.again || x.attempt != nil && x.attempt.Request.Payload.(*call).once
+	x.giveUp = x.w.Dialer.Get(x.addr, fresh, x.connected)
+}
+
+// reconnect tries once more, on a fresh connection, what can't have had an effect: a probe without a byte of an
+// answer, or a job whose last byte has surely not left. That a connection was dead says nothing of its worker. It
+// reports whether there is such a second try.
+func (x *exchange) reconnect() bool {
+	if x.again {
+		return false
+	}
+	x.again = true
+	if x.conn != nil {
+		x.conn.Close()
+		x.conn = nil
+	}
+	x.written, x.early = false, false
+	x.connect()
+	return true
 }
 
 // connected sends the request, if it still may be sent.
@@ -118,13 +145,15 @@
 	}
 	x.conn = c
 	c.SetHandler(x)
-	c.Write(b, x.wrote)
+	c.Write(b, func(end WriteEnd) { x.wrote(c, end) })
 }
 
-// wrote takes in how the write ended.
-func (x *exchange) wrote(end WriteEnd) {
+// wrote takes in how the write on a connection ended.
+func (x *exchange) wrote(on Conn, end WriteEnd) {
 	switch {
-	case x.over:
+	case x.over || x.conn != on: // a second connection is in use by now
+	case x.probe != nil && (end != Written || x.early) && x.reconnect():
+	case end == NotWholly && x.reconnect():
 	case end == NotWholly:
 		x.end(decide.ConnectFailed)
 	case end == Unsure || x.early:
@@ -161,6 +190,7 @@
 		x.whole(false)
 	case !x.written:
 		x.early = true // the end of the write tells whether the last byte had gone
+	case x.probe != nil && x.parser.Idle() && x.reconnect():
 	default:
 		x.end(decide.Reset)
 	}
--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -66,7 +66,10 @@
 	waiting []*waiter
 }
 
-type waiter struct{ ready func(jobs.Conn) }
+type waiter struct {
+	fresh bool // takes only the connection dialled for it
+	ready func(jobs.Conn)
+}
 
 // New returns a driver for the loop.
 func New(loop *engine.Loop, c Config) *Driver {
@@ -292,15 +295,15 @@
 func (d *Driver) LastAccept() time.Time { return d.lastAccept }
 
 // Get implements jobs.Dialer.
-func (d *Driver) Get(addr string, ready func(jobs.Conn)) (giveUp func()) {
+func (d *Driver) Get(addr string, fresh bool, ready func(jobs.Conn)) (giveUp func()) {
 	h := d.host(addr)
-	if n := len(h.idle); n > 0 {
+	if n := len(h.idle); n > 0 && !fresh {
 		c := h.idle[n-1]
 		d.forgetIdle(c)
 		ready(c)
 		return func() {}
 	}
-	w := &waiter{ready}
+	w := &waiter{fresh, ready}
 	h.waiting = append(h.waiting, w)
 	d.dial(h, w)
 	return func() { h.leave(w) }
@@ -346,7 +349,8 @@
 	}()
 }
 
-// dialled hands a new connection to whoever has waited longest. A dial that failed fails only its own.
+// dialled hands a new connection to whoever it was dialled for, if that one takes no other, or else to whoever has
+// waited longest. A dial that failed fails only its own.
 func (d *Driver) dialled(h *host, w *waiter, nc netpoll.Connection) {
 	if nc == nil {
 		d.Counted(1, 1, 0)
@@ -358,6 +362,10 @@
 	d.Counted(1, 0, 0)
 	c := &Conn{d: d, nc: nc, handler: discard{}, host: h}
 	c.wire()
+	if w != nil && w.fresh && h.leave(w) {
+		w.ready(c)
+		return
+	}
 	d.Put(h.addr, c)
 }
 
@@ -372,9 +380,9 @@
 		c.Close()
 		return
 	}
-	if len(h.waiting) > 0 {
-		w := h.waiting[0]
-		h.waiting = h.waiting[1:]
+	if i := slices.IndexFunc(h.waiting, func(w *waiter) bool { return !w.fresh }); i >= 0 {
+		w := h.waiting[i]
+		h.leave(w)
 		w.ready(c)
 		return
 	}
