--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -90,6 +90,7 @@
 	other := make(chan jobs.Conn, 1)
 	g.do(func() { g.d.Get(addr, true, func(c jobs.Conn) { other <- c }) })
 	assert.NotSame(t, first, <-other, "a fresh one is dialled")
+	<-conns
 	ended(t, theirs) // before the worker would, or a request could be lost on it
 
 	// One that the worker closes while it is idle is not handed out.
