Look after attempts that do not start, and call off those that are lost

A look (one probe, 0.4 s after the push and again) tells: room for the job and next to nothing held, twice, means that it is not queued there.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -15,6 +15,9 @@
 	reportLag    = 250 * ms   // a report may not show a push younger than this
 	tightSpan    = 150 * ms   // a full worker frees a slot in some hundreds of ms, and asking costs it work
 	sizeNoise    = 0.75       // a worker's size is known from noisy reports
+	lookSpan     = 300 * ms   // a report of before the push is out of date by then
+	blockedBy    = 2.5        // a job waits beside free slots only behind a wide one that waits for a third
+	lostFrom     = 2          // one look may come at a bad moment
 	startSoon    = 100 * ms   // a job not started by then met a slot that was not free
 	ejectFirst   = 4000 * ms  // the first term: a stumble is often over by then
 	ejectMax     = 20000 * ms // long enough to be rid of it, short enough to notice its return
@@ -147,7 +150,7 @@
 	}
 	for _, w := range j.pair {
 		if w != nil {
-			w.probes = append(w.probes, probe{d.now, j.ID, j.draw})
+			w.probes = append(w.probes, probe{at: d.now, job: j.ID, draw: j.draw})
 			d.act.Probe(w.ID)
 		}
 	}
@@ -478,10 +481,64 @@
 	}
 }
 
-// judgeProbe suspects a worker whose probe was lost: hung, gone, or behind a cut link.
+// judgeProbe suspects a worker whose probe was lost: hung, gone, or behind a cut link. If another one is lost
+// too, nothing of ours will come back from there.
 func (d *Dispatcher) judgeProbe(w *worker, s Status) {
-	if s == TimedOut || s == ConnectFailed || s == Reset {
-		d.eject(w)
+	if s != TimedOut && s != ConnectFailed && s != Reset {
+		w.lost = 0
+		return
+	}
+	d.eject(w)
+	if w.lost++; w.lost < lostFrom && w.out > 0 {
+		d.look(w, nil, 0)
+	} else if w.lost >= lostFrom {
+		for _, j := range d.on(w) {
+			for n := range j.attempts {
+				if j.attempts[n].w == w {
+					d.abandon(j, n)
+				}
+			}
+		}
+	}
+}
+
+// look probes w for the sake of what we have there: of attempt n of j, which has not started, or of all.
+func (d *Dispatcher) look(w *worker, j *job, n int) {
+	p := probe{at: d.now}
+	if !d.s.CanProbe {
+		return
+	}
+	if j != nil {
+		p.job, p.look = j.ID, n+1
+	}
+	w.probes = append(w.probes, p)
+	d.act.Probe(w.ID)
+}
+
+// afterLook takes in what a look at an attempt that has not started shows. A worker with room for it that
+// holds next to nothing does not make it wait: the connection has fallen silent, or the job was lost.
+func (d *Dispatcher) afterLook(j *job, n int, s Status, r Report) {
+	a := &j.attempts[n]
+	if !a.out || a.started {
+		return
+	}
+	const has = HasFreeSlots | HasInFlight
+	wait := lookSpan
+	if s != Served || r.Has&has != has || r.FreeSlots <= j.Slots-0.5 || r.InFlight > blockedBy {
+		a.looks, wait = 0, 2*lookSpan
+	} else if a.looks++; a.looks >= lostFrom {
+		a.onTime()
+		d.abandon(j, n)
+		return
+	}
+	d.act.Wake(wait, wakeLook|uint64(n)<<32|uint64(j.ID))
+}
+
+// abandon calls off an attempt that nothing more is expected of, if its job may and can still go elsewhere.
+func (d *Dispatcher) abandon(j *job, n int) {
+	if j.attempts[n].out && !j.closed && d.s.CanCancel && j.class.Effect != Unsafe && d.now <= j.latest &&
+		len(j.attempts) < d.s.MaxAttempts {
+		d.act.Cancel(j.ID, n)
 	}
 }
 
@@ -550,6 +607,7 @@
 	if j.class.Effect != Unsafe && d.s.SecondCopies && !j.drawing && d.mayHedge() {
 		d.drawPair(j) // mayRepeat keeps it inside its key's scope
 	}
+	d.act.Wake(lookSpan, wakeLook|uint64(n)<<32|uint64(j.ID))
 }
 
 // mayHedge allows a second copy only where reports are fresh. A copy that is called off may run all the same,
--- a/decide/events.go
+++ b/decide/events.go
@@ -11,6 +11,7 @@
 	wakeRedraw
 	wakeStart
 	wakeAsk
+	wakeLook
 )
 
 // ProbeResult takes in the answer to a probe.
@@ -31,6 +32,10 @@
 	}
 	d.judgeProbe(w, status)
 	j := d.jobs[p.job]
+	if p.look > 0 && j != nil && p.look <= len(j.attempts) {
+		d.afterLook(j, p.look-1, status, r)
+		return
+	}
 	if j == nil || j.closed || !j.drawing || j.draw != p.draw {
 		return
 	}
@@ -138,6 +143,10 @@
 		}
 	case wakeStart:
 		d.overdue(j, int(mark))
+	case wakeLook:
+		if n := int(mark); n < len(j.attempts) && j.attempts[n].out && !j.attempts[n].started {
+			d.look(j.attempts[n].w, j, n)
+		}
 	}
 }
 
--- a/decide/failures_test.go
+++ b/decide/failures_test.go
@@ -370,3 +370,58 @@
 		t.Error("two in a row are no chance")
 	}
 }
+
+// A connection that fell silent once kept its job until the client left, and its worker out of the draws as long,
+// for a start that did not come. A look tells that nothing waits there.
+func TestLostAttemptIsCalledOff(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		class int
+		shown Report
+		want  int // cancels
+		late  int // what is still held against the worker
+	}{
+		{"room and next to nothing held", 0, Report{Has: HasFreeSlots | HasInFlight, FreeSlots: 3, InFlight: 1}, 1, 0},
+		{"it must not run twice", 1, Report{Has: HasFreeSlots | HasInFlight, FreeSlots: 3, InFlight: 1}, 0, 0},
+		{"no room", 0, Report{Has: HasFreeSlots | HasInFlight, InFlight: 1}, 0, 1},
+		{"behind a wide one", 0, Report{Has: HasFreeSlots | HasInFlight, FreeSlots: 3, InFlight: 3}, 0, 1},
+	} {
+		s := testSettings()
+		s.SecondCopies = false
+		s.Classes[c.class].Aim = 4 * second
+		d, r := newNode(t, s, fleet(3)...)
+		w := d.workers[pushTo(t, d, r, c.class)]
+		timers := r.take("")
+		d.Wake(start+startSoon, wakeStart|1)
+		for i := range Time(lostFrom) {
+			now := start + startSoon + (i+1)*lookSpan
+			d.Wake(now, wakeLook|1)
+			if probes := r.take("probe"); len(probes) != 1 || probes[0].worker != w.ID {
+				t.Fatalf("%s: looks %+v after %+v", c.name, probes, timers)
+			}
+			d.ProbeResult(now+ms, w.ID, Served, ms, c.shown)
+		}
+		if n := len(r.take("cancel")); n != c.want || w.late != c.late {
+			t.Errorf("%s: %d cancels, %d late", c.name, n, w.late)
+		}
+	}
+}
+
+// Two probes lost in a row mean a machine that is gone without a word: what may be repeated goes elsewhere.
+func TestLostWorkerIsLeft(t *testing.T) {
+	s := testSettings()
+	s.Classes[0].Aim = 4 * second
+	d, r := newNode(t, s, fleet(3)...)
+	w := d.workers[pushTo(t, d, r, 0)]
+	d.Note(start+2*ms, 1, 0, NoteStarted, 0)
+	d.look(w, nil, 0)
+	for i := range Time(lostFrom) {
+		if probes := r.take("probe"); len(probes) != 1 {
+			t.Fatalf("%d probes in flight", len(probes))
+		}
+		d.ProbeResult(start+(i+1)*500*ms, w.ID, TimedOut, 500*ms, Report{})
+	}
+	if n := len(r.take("cancel")); n != 1 {
+		t.Errorf("%d cancels", n)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -1,8 +1,10 @@
 package decide
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 )
 
 // What a dispatcher remembers, and the bookkeeping of it. No decision is made in this file.
@@ -17,6 +19,7 @@
 	recent    []claim // own pushes that its reports may not show yet
 	probes    []probe // sent and not answered
 	badUntil  Time    // ejected until then
+	lost      int     // probes lost in a row
 	broken    bool    // the last attempt there broke off
 	level     int     // grows the next term of ejection
 	credit    float64 // work that this node may still send it while it is cold
@@ -41,6 +44,7 @@
 	at   Time
 	job  uint32
 	draw uint16
+	look int // the number of the attempt that it is to look after, from 1; 0: none
 }
 
 type attempt struct {
@@ -49,6 +53,7 @@
 	startedAt    Time
 	out, started bool
 	late         bool // its start is overdue
+	looks        int  // in a row that showed room for it, though it has not started
 	mayHaveRun   bool
 }
 
@@ -224,6 +229,18 @@
 	}
 }
 
+// on returns the jobs with an attempt out on w, in order of arrival.
+func (d *Dispatcher) on(w *worker) []*job {
+	var out []*job
+	for _, j := range d.jobs {
+		if slices.ContainsFunc(j.attempts, func(a attempt) bool { return a.out && a.w == w }) {
+			out = append(out, j)
+		}
+	}
+	slices.SortFunc(out, func(a, b *job) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
 // takeProbe removes and returns the probe that an answer belongs to: the one sent nearest to sentAt.
 func (w *worker) takeProbe(sentAt Time) (probe, bool) {
 	if len(w.probes) == 0 {
