Let clients' bytes wait with them while the loop is busy, and bound bodies together

Checked with a test: with the loop held up, all of a 64 MB body was read and kept (netpoll reads on whatever its handlers do; net.read cloned each piece and posted it), so a few large bodies in a bad moment would fill 32 MB. The runner that netpoll calls for a client's bytes now keeps the poller until the loop has taken them, accepted sockets have a receive buffer of 64 KB, reads are no longer cloned, what comes after the last answer is dropped in the driver, up to 1 MB. Bodies together may fill an eighth of the memory. finish() could shut down a descriptor that had passed to another connection; it asks under the lock that the close callback takes.

--- a/cmd/weldscale/main.go
+++ b/cmd/weldscale/main.go
@@ -14,8 +14,6 @@
 	"syscall"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
 	"weldscale/internal/engine"
 	"weldscale/internal/jobs"
 	"weldscale/internal/net"
@@ -52,10 +50,6 @@
 	runtime.GOMAXPROCS(2)
 	debug.SetGCPercent(400) // live state is small; the limit below bounds what that lets pile up
 	setMemory(c)
-	if err := netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: os.Stderr}); err != nil {
-		return err
-	}
-
 	s, err := start(c)
 	if err != nil {
 		return err
@@ -86,6 +80,9 @@
 
 func setMemory(c *config) { debug.SetMemoryLimit(int64(c.Limits.MemoryMB) << 20 * 6 / 10) }
 
+// maxHeld is the part of the memory that requests may fill.
+func (c *config) maxHeld() int { return c.Limits.MemoryMB << 20 / 8 }
+
 // scheduler is the parts, wired.
 type scheduler struct {
 	c         *config // in force
@@ -107,6 +104,7 @@
 	}
 	driver := net.New(loop, net.Config{Descriptors: c.Limits.Sockets, ConnectTimeout: c.connectTimeout, IdleLimit: c.idleLimit})
 	server := jobs.NewServer(e, c.classes)
+	server.MaxHeld = c.maxHeld()
 	driver.Accepted = server.Serve
 	driver.ShedIdle = server.CloseIdle
 	driver.Counted = func(dials, failed, shed int) {
@@ -134,6 +132,7 @@
 		c.Listen != old.Listen || !reflect.DeepEqual(c.engine.Settings, old.engine.Settings))
 	old.Discovery, old.Limits = c.Discovery, c.Limits
 	setMemory(old)
+	s.server.MaxHeld = old.maxHeld()
 	s.driver.SetDescriptors(c.Limits.Sockets)
 	s.discovery.Move(c.Discovery)
 }
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -98,12 +98,13 @@
 	start time.Time
 	wheel wheel
 	quit  bool
+	ended chan struct{}  // closed after Run
 	lag   *time.Duration // the longest that a piece of work has kept the loop
 }
 
 // NewLoop returns a loop that does not run yet.
 func NewLoop() *Loop {
-	return &Loop{queue: make(chan func(), 4096), lag: new(time.Duration), start: time.Now()}
+	return &Loop{queue: make(chan func(), 4096), ended: make(chan struct{}), lag: new(time.Duration), start: time.Now()}
 }
 
 // Now is the present time in microseconds.
@@ -111,9 +112,24 @@
 	return l.start.UnixMicro() + int64(time.Since(l.start)/time.Microsecond)
 }
 
-// Post hands work to the loop from another goroutine; it waits while the queue is full. Code on the loop
-// must not call it.
-func (l *Loop) Post(f func()) { l.queue <- f }
+// Post hands work to the loop from another goroutine; it waits while the queue is full. Once the loop has ended the
+// work is passed over. Code on the loop must not call it.
+func (l *Loop) Post(f func()) {
+	select {
+	case l.queue <- f:
+	case <-l.ended:
+	}
+}
+
+// Do is Post and waits until the work is done, or will never be.
+func (l *Loop) Do(f func()) {
+	done := make(chan struct{})
+	l.Post(func() { f(); close(done) })
+	select {
+	case <-done:
+	case <-l.ended:
+	}
+}
 
 // After calls f on the loop once the span has passed. Only for code on the loop.
 func (l *Loop) After(span time.Duration, f func()) *Timer {
@@ -126,6 +142,7 @@
 
 // Run works until Stop.
 func (l *Loop) Run() {
+	defer close(l.ended)
 	alarm := time.NewTimer(time.Hour)
 	defer alarm.Stop()
 	armed := int64(-1)
--- a/internal/jobs/client.go
+++ b/internal/jobs/client.go
@@ -41,7 +41,10 @@
 	Ready func() bool
 	// Stats is the text of the counters.
 	Stats func() string
+	// MaxHeld bounds the bytes of all requests that are coming in or in hand; 0: not at all.
+	MaxHeld int
 
+	held    int
 	closing bool
 	idle    map[*client]struct{} // connections between two requests
 	turn    uint64               // counts the times that one became so
@@ -126,6 +129,7 @@
 	keepAlive bool
 	continued bool
 	known     bool          // it brought a job
+	held      int           // its part of the server's
 	came      decide.Time   // when the connection did
 	since     uint64        // the server's turn when it last became idle
 	slow      *engine.Timer // runs while a request is coming in
@@ -148,6 +152,10 @@
 			x.take()
 			continue
 		}
+		if !x.hold(len(x.parser.Msg.Body)) {
+			x.reject(&http1.Error{Status: 503, Reason: "too much in hand"})
+			return
+		}
 		if x.slow == nil {
 			x.slow = x.s.Engine.After(slowest, x.tooSlow)
 		}
@@ -194,9 +202,17 @@
 	}
 }
 
+// hold books what the connection has in memory, and reports whether the server still bears it.
+func (x *client) hold(n int) bool {
+	x.s.held += n - x.held
+	x.held = n
+	return x.s.MaxHeld == 0 || x.s.held <= x.s.MaxHeld
+}
+
 // end takes the connection out of the books.
 func (x *client) end() {
 	x.over = true
+	x.hold(0)
 	x.slow.Stop()
 	delete(x.s.idle, x)
 }
@@ -245,6 +261,10 @@
 		x.refuseInput(404, "unknown path")
 		return
 	}
+	if !x.hold(len(m.Body) + len(m.Target)) {
+		x.reject(&http1.Error{Status: 503, Reason: "too much in hand"})
+		return
+	}
 	j, why := x.s.job(&m, path)
 	if why != "" {
 		x.refuseInput(400, why)
@@ -443,6 +463,7 @@
 		return
 	}
 	x.busy = false
+	x.hold(0)
 	x.parser.Reset()
 	x.s.rest(x)
 	next := x.ahead
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -431,6 +431,21 @@
 	assert.True(t, x.closed, "half an answer may have gone out")
 }
 
+// Bodies together have a limit, whatever each may have: many large ones at once would fill a small memory.
+func TestBodiesTogetherHaveALimit(t *testing.T) {
+	b := newBench(t)
+	b.server.MaxHeld = 100 << 10
+	half, large := b.client(), b.client()
+	half.handler.Data([]byte(head + "X-Budget: 8000m\r\nContent-Length: 65536\r\n\r\n" + strings.Repeat("x", 60<<10)))
+	large.handler.Data([]byte(strings.Replace(head, "9b", "9c", 1) + "X-Budget: 8000m\r\nContent-Length: 65536\r\n\r\n" + strings.Repeat("x", 50<<10)))
+	assert.Contains(t, large.out, "HTTP/1.1 503 ")
+	assert.True(t, large.closed)
+	half.handler.Data([]byte(strings.Repeat("x", 4<<10)))
+	require.Len(t, b.pushed, 1)
+	b.pushed[0].End(decide.Served, []byte("x"), decide.Report{})
+	assert.Zero(t, b.server.held)
+}
+
 // Requests sent ahead wait for their turn and are answered in order.
 func TestPipelining(t *testing.T) {
 	b := newBench(t)
--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -10,6 +10,7 @@
 	"errors"
 	"log/slog"
 	"maps"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -28,7 +29,11 @@
 	writeTimeout = 5 * time.Second // for a peer that takes no bytes
 	linger       = time.Second     // for a peer to take our last answer before the close
 	idlePerHost  = 8
-	maxHosts     = 256 // before those without a connection at rest are forgotten
+	bufferSize   = 4 << 10  // of a connection's reads at first
+	receive      = 64 << 10 // what the system may hold of a client's bytes unread
+	maxUnread    = 2 << 20  // what netpoll may: it reads on while the loop is busy, but from clients
+	maxIgnored   = 1 << 20  // of what a client sends after its last answer
+	maxHosts     = 256      // before those without a connection at rest are forgotten
 )
 
 // Config says within which bounds a Driver works.
@@ -71,8 +76,13 @@
 	ready func(jobs.Conn)
 }
 
+var configure sync.Once
+
 // New returns a driver for the loop.
 func New(loop *engine.Loop, c Config) *Driver {
+	configure.Do(func() {
+		_ = netpoll.Configure(netpoll.Config{PollerNum: 1, BufferSize: bufferSize, Runner: run, LoggerOutput: os.Stderr})
+	})
 	d := &Driver{loop: loop, c: c, hosts: map[string]*host{}}
 	d.SetDescriptors(c.Descriptors)
 	return d
@@ -81,6 +91,28 @@
 // SetDescriptors changes the budget of descriptors; what is open stays open until room is needed.
 func (d *Driver) SetDescriptors(n int) { d.room.Store(int64(n - reserved)) }
 
+type connKey struct{}
+
+// run starts what netpoll does for a connection that has bytes to read. The poller reads on meanwhile, faster than
+// anyone takes the bytes, and a few large bodies once could have filled the memory; so for a client it waits until
+// the loop has taken them. A connection that is being closed waits for the poller in turn, and lets it go.
+func run(ctx context.Context, f func()) {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	if c == nil {
+		go f()
+		return
+	}
+	done := make(chan struct{})
+	go func() {
+		f()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-c.leaving:
+	}
+}
+
 // Conn is one connection. Only the loop uses it, but for what is under mu and the flags.
 type Conn struct {
 	d       *Driver
@@ -89,12 +121,16 @@
 	host    *host         // of a connection to a worker
 	retire  *engine.Timer // of an idle one
 	closed  atomic.Bool   // by us
+	deaf    atomic.Bool   // nothing that comes counts any more
+	leaving chan struct{} // closed when the system's end is near
 	ended   bool          // as the loop knows it
+	ignored int           // bytes that came while deaf
 
 	mu         sync.Mutex
 	out        []chunk
 	writing    bool
 	closeAfter bool
+	released   bool // the descriptor may be another's by now
 }
 
 type chunk struct {
@@ -158,6 +194,7 @@
 // CloseAfterWrite implements jobs.Conn.
 func (c *Conn) CloseAfterWrite() {
 	c.handler = discard{}
+	c.deaf.Store(true)
 	c.mu.Lock()
 	c.closeAfter = true
 	busy := c.writing
@@ -173,9 +210,11 @@
 	if c.ended {
 		return
 	}
-	if fd, ok := c.nc.(netpoll.Conn); ok {
-		_ = syscall.Shutdown(fd.Fd(), syscall.SHUT_WR) // it may be gone already
+	c.mu.Lock()
+	if fd, ok := c.nc.(netpoll.Conn); ok && !c.released {
+		_ = syscall.Shutdown(fd.Fd(), syscall.SHUT_WR)
 	}
+	c.mu.Unlock()
 	c.d.loop.After(linger, c.Close)
 }
 
@@ -206,6 +245,10 @@
 	var once sync.Once
 	gone := func() {
 		once.Do(func() {
+			close(c.leaving)
+			c.mu.Lock()
+			c.released = true
+			c.mu.Unlock()
 			c.d.open.Add(-1)
 			if c.closed.Load() {
 				return
@@ -230,19 +273,32 @@
 	}
 }
 
+// read hands on what has come and waits until the loop has taken it: the bytes are netpoll's.
 func (c *Conn) read(nc netpoll.Connection) {
 	r := nc.Reader()
-	b, err := r.Next(r.Len())
+	n := r.Len()
+	if c.deaf.Load() {
+		_ = r.Skip(n)
+		_ = r.Release()
+		if c.ignored += n; c.ignored > maxIgnored {
+			_ = nc.Close()
+		}
+		return
+	}
+	if n > maxUnread {
+		_ = nc.Close()
+		return
+	}
+	b, err := r.Next(n)
 	if err != nil {
 		return
 	}
-	b = slices.Clone(b)
-	_ = r.Release()
-	c.d.loop.Post(func() {
+	c.d.loop.Do(func() {
 		if !c.ended {
 			c.handler.Data(b)
 		}
 	})
+	_ = r.Release()
 }
 
 // Listen accepts clients at the address.
@@ -252,6 +308,10 @@
 		return err
 	}
 	d.ln = ln
+	// Connections inherit it. What a client sends ahead of our reading stays with the client.
+	if err := syscall.SetsockoptInt(ln.Fd(), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receive); err != nil {
+		return err
+	}
 	loop, err := netpoll.NewEventLoop(
 		func(ctx context.Context, nc netpoll.Connection) error { return nil },
 		netpoll.WithOnPrepare(func(nc netpoll.Connection) context.Context {
@@ -260,7 +320,7 @@
 				_ = nc.Close()
 				return nil
 			}
-			c := &Conn{d: d, nc: nc, handler: discard{}}
+			c := &Conn{d: d, nc: nc, handler: discard{}, leaving: make(chan struct{})}
 			d.loop.Post(func() {
 				d.lastAccept = time.Now()
 				d.makeRoom()
@@ -269,7 +329,7 @@
 				}
 			})
 			c.wire()
-			return nil
+			return context.WithValue(context.Background(), connKey{}, c)
 		}))
 	if err != nil {
 		return err
@@ -360,7 +420,7 @@
 		return
 	}
 	d.Counted(1, 0, 0)
-	c := &Conn{d: d, nc: nc, handler: discard{}, host: h}
+	c := &Conn{d: d, nc: nc, handler: discard{}, leaving: make(chan struct{}), host: h}
 	c.wire()
 	if w != nil && w.fresh && h.leave(w) {
 		w.ready(c)
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -147,6 +147,66 @@
 	assert.Equal(t, jobs.NotWholly, <-wrote)
 }
 
+// takes counts what a client sends.
+type takes struct {
+	*rig
+	n int
+}
+
+func (k *takes) Data(b []byte) { k.n += len(b) }
+
+// While the loop is busy, bytes stay with the client that sends them: large bodies once piled up here.
+func TestBytesWaitWithTheClient(t *testing.T) {
+	g := newRig(t, Config{Descriptors: 1024, IdleLimit: time.Hour})
+	k := &takes{rig: g}
+	accepted := make(chan jobs.Conn, 1)
+	g.d.Accepted = func(c jobs.Conn) { c.SetHandler(k); accepted <- c }
+	g.do(func() { require.NoError(t, g.d.Listen("127.0.0.1:0")) })
+	c, err := stdnet.Dial("tcp", g.d.Addr())
+	require.NoError(t, err)
+	defer c.Close()
+	conn := <-accepted
+	release := make(chan struct{})
+	go g.loop.Post(func() { <-release })
+	require.NoError(t, c.SetWriteDeadline(time.Now().Add(time.Second)))
+	const body = 64 << 20
+	sent, err := c.Write(make([]byte, body))
+	assert.Error(t, err, "all of it found room here")
+	assert.Less(t, sent, body/4)
+	close(release)
+	require.Eventually(t, func() (all bool) { g.do(func() { all = k.n == sent }); return }, patience, time.Millisecond)
+
+	// After the last answer it is not even looked at, and there is an end to that.
+	g.do(func() { conn.Write([]byte("bye"), nil); conn.CloseAfterWrite() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(patience)))
+	_, err = c.Write(make([]byte, body))
+	assert.Error(t, err)
+	require.Eventually(t, func() bool { return g.d.open.Load() == 0 }, patience, time.Millisecond)
+	g.do(func() { assert.Equal(t, sent, k.n) })
+}
+
+// A client may leave, or be closed, while its bytes wait for the loop.
+func TestEndWhileBytesWait(t *testing.T) {
+	for _, ours := range []bool{true, false} {
+		g := newRig(t, Config{Descriptors: 1024, IdleLimit: time.Hour})
+		accepted := make(chan jobs.Conn, 1)
+		g.d.Accepted = func(c jobs.Conn) { c.SetHandler(g); accepted <- c }
+		g.do(func() { require.NoError(t, g.d.Listen("127.0.0.1:0")) })
+		for range 50 {
+			c, err := stdnet.Dial("tcp", g.d.Addr())
+			require.NoError(t, err)
+			conn := <-accepted
+			go c.Write(make([]byte, 1<<20))
+			if ours {
+				g.do(conn.Close)
+				ended(t, c)
+			}
+			c.Close()
+		}
+		require.Eventually(t, func() bool { return g.d.open.Load() == 0 }, patience, time.Millisecond)
+	}
+}
+
 // With the budget of descriptors used up, idle connections to workers go first, then those of clients, and
 // what is over the hard bound is turned away at once.
 func TestBudgetOfDescriptors(t *testing.T) {
