Keep a class off a worker that did not start its job; look sooner

A worker that did not start a job (look or time-out) gets no more of that class for 4 s, then 16 s and 20 s, until it serves one; looks begin 0.21 s after the push, when no report is older than that; what is lost is called off even past its aim, so that its client hears.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -15,7 +15,7 @@
 	reportLag    = 250 * ms   // a report may not show a push younger than this
 	tightSpan    = 150 * ms   // a full worker frees a slot in some hundreds of ms, and asking costs it work
 	sizeNoise    = 0.75       // a worker's size is known from noisy reports
-	lookSpan     = 300 * ms   // a report of before the push is out of date by then
+	lookSpan     = 110 * ms   // the first look is 210 ms after the push, when no report is older
 	blockedBy    = 2.5        // a job waits beside free slots only behind a wide one that waits for a third
 	lostFrom     = 2          // one look may come at a bad moment
 	startSoon    = 100 * ms   // a job not started by then met a slot that was not free
@@ -185,7 +185,7 @@
 // there are such, until it serves one: an unsafe job would be lost on it if it fails again.
 func (d *Dispatcher) usable(j *job, w *worker) bool {
 	return w.State == Ready && w.badUntil <= d.now && w.fullUntil <= d.now && w.late == 0 &&
-		(w.level == 0 || j.class.Effect != Unsafe || !d.canTry) &&
+		(w.level == 0 || j.class.Effect != Unsafe || !d.canTry) && w.shuns[j.Job.Class].until <= d.now &&
 		(j.class.Kind < 0 || j.class.Kind == w.Kind) && d.mayRepeat(j, w)
 }
 
@@ -461,12 +461,16 @@
 	switch s {
 	case Served:
 		a.w.level /= 2
-		a.w.broken = false
+		a.w.broken, a.w.shuns[j.Job.Class].strikes = false, 0
 		from := a.startedAt
 		if !a.started {
 			from = a.sent
 		}
 		d.runs[j.Job.Class] += learnRate * (float64(d.now-from) - d.runs[j.Job.Class])
+	case TimedOut:
+		if !a.started {
+			d.shun(a.w, j.Job.Class)
+		}
 	case Full:
 		a.w.fullUntil = d.now + reportLag
 		d.busy += fullCounts * (1 - d.busy) // true whatever late reports show
@@ -525,9 +529,10 @@
 	const has = HasFreeSlots | HasInFlight
 	wait := lookSpan
 	if s != Served || r.Has&has != has || r.FreeSlots <= j.Slots-0.5 || r.InFlight > blockedBy {
-		a.looks, wait = 0, 2*lookSpan
+		a.looks, wait = 0, 5*lookSpan
 	} else if a.looks++; a.looks >= lostFrom {
 		a.onTime()
+		d.shun(a.w, j.Job.Class)
 		d.abandon(j, n)
 		return
 	}
@@ -536,12 +541,19 @@
 
 // abandon calls off an attempt that nothing more is expected of, if its job may and can still go elsewhere.
 func (d *Dispatcher) abandon(j *job, n int) {
-	if j.attempts[n].out && !j.closed && d.s.CanCancel && j.class.Effect != Unsafe && d.now <= j.latest &&
+	if j.attempts[n].out && !j.closed && d.s.CanCancel && j.class.Effect != Unsafe &&
 		len(j.attempts) < d.s.MaxAttempts {
 		d.act.Cancel(j.ID, n)
 	}
 }
 
+// shun keeps a class off a worker that did not even start a job of it: some serve the others as ever.
+func (d *Dispatcher) shun(w *worker, class int) {
+	s := &w.shuns[class]
+	s.until = d.now + min(ejectFirst<<min(2*s.strikes, 8), ejectMax)
+	s.strikes++
+}
+
 // eject keeps a worker out of draws for a growing, jittered term. When many look bad at once the cause is
 // likelier shared (the network, a common dependency) and ejecting would only crowd the rest.
 func (d *Dispatcher) eject(w *worker) {
--- a/decide/failures_test.go
+++ b/decide/failures_test.go
@@ -425,3 +425,29 @@
 		t.Errorf("%d cancels", n)
 	}
 }
+
+// Workers that swallow the jobs of one class and serve all others kept being drawn for it, each job lost for the
+// whole of its client's patience.
+func TestClassIsKeptOffAWorkerThatDoesNotStartIt(t *testing.T) {
+	d, r := newNode(t, testSettings(), fleet(3)...)
+	w := d.workers[pushTo(t, d, r, 0)]
+	d.Outcome(start+5*second, Outcome{Job: 1, Worker: w.ID, Status: TimedOut})
+	j, other := d.newJob(Job{ID: 2, Class: 0}), d.newJob(Job{ID: 3, Class: 2})
+	if d.usable(j, w) || !d.usable(other, w) {
+		t.Error("that class, and no other, stays away")
+	}
+	first := w.shuns[0].until - d.now
+	d.shun(w, 0)
+	if second := w.shuns[0].until - d.now; second <= first {
+		t.Errorf("a second time for %d ms after %d ms", second/ms, first/ms)
+	}
+	d.now = w.shuns[0].until
+	if !d.usable(j, w) {
+		t.Error("it must be tried again")
+	}
+	d.push(j, w)
+	d.Outcome(d.now+ms, Outcome{Job: 2, Worker: w.ID, Status: Served})
+	if w.shuns[0].strikes != 0 {
+		t.Error("served: nothing is held against it")
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -13,17 +13,18 @@
 type worker struct {
 	Worker
 	listed    bool
-	out       int     // own attempts not yet ended
-	held      float64 // the slots that those need
-	size      float64 // its slots, as it shows when idle; 0: not seen yet
-	recent    []claim // own pushes that its reports may not show yet
-	probes    []probe // sent and not answered
-	badUntil  Time    // ejected until then
-	lost      int     // probes lost in a row
-	broken    bool    // the last attempt there broke off
-	level     int     // grows the next term of ejection
-	credit    float64 // work that this node may still send it while it is cold
-	shown     Report  // its last report
+	out       int       // own attempts not yet ended
+	held      float64   // the slots that those need
+	size      float64   // its slots, as it shows when idle; 0: not seen yet
+	recent    []claim   // own pushes that its reports may not show yet
+	probes    []probe   // sent and not answered
+	badUntil  Time      // ejected until then
+	shuns     []shunned // by class
+	lost      int       // probes lost in a row
+	broken    bool      // the last attempt there broke off
+	level     int       // grows the next term of ejection
+	credit    float64   // work that this node may still send it while it is cold
+	shown     Report    // its last report
 	shownAt   Time
 	heard     int // peers' complaints of it lately
 	heardAt   Time
@@ -35,6 +36,12 @@
 	tightFor   float64 // ... for a job of that many slots
 }
 
+// shunned tells until when a class is kept off a worker that did not start its jobs.
+type shunned struct {
+	until   Time
+	strikes int
+}
+
 type claim struct {
 	at            Time
 	slots, memory float64
@@ -162,7 +169,7 @@
 		e.Zone = min(max(e.Zone, 0), len(d.usual)-1)
 		w := d.workers[e.ID]
 		if w == nil {
-			w = &worker{}
+			w = &worker{shuns: make([]shunned, len(d.s.Classes))}
 			d.workers[e.ID] = w
 		}
 		if !w.listed {
@@ -172,6 +179,7 @@
 		if w.StartedAt != e.StartedAt { // a fresh process: nothing held against it, nothing saved up
 			w.badUntil, w.fullUntil, w.level = 0, 0, 0
 			w.credit, w.creditAt = 0, d.now
+			clear(w.shuns)
 		}
 		w.Worker = e
 	}
