Eject a worker after two lost probes or three broken attempts in a row

A lost probe is now followed by a look at once, and only a second loss ejects; broken attempts eject from the third in a row, since each push has its own probe before it, which a dead worker does not answer.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -17,6 +17,7 @@
 	sizeNoise    = 0.75       // a worker's size is known from noisy reports
 	lookSpan     = 110 * ms   // the first look is 210 ms after the push, when no report is older
 	blockedBy    = 2.5        // a job waits beside free slots only behind a wide one that waits for a third
+	brokenFrom   = 3          // attempts broken in a row: the worker breaks them
 	lostFrom     = 2          // one look may come at a bad moment
 	startSoon    = 100 * ms   // a job not started by then met a slot that was not free
 	ejectFirst   = 4000 * ms  // the first term: a stumble is often over by then
@@ -461,7 +462,7 @@
 	switch s {
 	case Served:
 		a.w.level /= 2
-		a.w.broken, a.w.shuns[j.Job.Class].strikes = false, 0
+		a.w.broken, a.w.shuns[j.Job.Class].strikes = 0, 0
 		from := a.startedAt
 		if !a.started {
 			from = a.sent
@@ -475,32 +476,31 @@
 		a.w.fullUntil = d.now + reportLag
 		d.busy += fullCounts * (1 - d.busy) // true whatever late reports show
 		d.reprice(true)
-	case Reset: // one connection may break on a sound worker; a second one before it serves again is no chance
-		if a.w.broken {
+	case Reset: // connections break on sound workers too, and those that are gone answer no probe
+		if a.w.broken++; a.w.broken >= brokenFrom {
 			d.eject(a.w)
 		}
-		a.w.broken = true
 	case Error, ConnectFailed:
 		d.eject(a.w)
 	}
 }
 
-// judgeProbe suspects a worker whose probe was lost: hung, gone, or behind a cut link. If another one is lost
-// too, nothing of ours will come back from there.
+// judgeProbe suspects a worker if two probes in a row were lost: hung, gone, or behind a cut link. Nothing of
+// ours will come back from there. After the first it looks again: no more than a connection may have broken.
 func (d *Dispatcher) judgeProbe(w *worker, s Status) {
 	if s != TimedOut && s != ConnectFailed && s != Reset {
 		w.lost = 0
 		return
 	}
-	d.eject(w)
-	if w.lost++; w.lost < lostFrom && w.out > 0 {
+	if w.lost++; w.lost < lostFrom {
 		d.look(w, nil, 0)
-	} else if w.lost >= lostFrom {
-		for _, j := range d.on(w) {
-			for n := range j.attempts {
-				if j.attempts[n].w == w {
-					d.abandon(j, n)
-				}
+		return
+	}
+	d.eject(w)
+	for _, j := range d.on(w) {
+		for n := range j.attempts {
+			if j.attempts[n].w == w {
+				d.abandon(j, n)
 			}
 		}
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -21,7 +21,7 @@
 	badUntil  Time      // ejected until then
 	shuns     []shunned // by class
 	lost      int       // probes lost in a row
-	broken    bool      // the last attempt there broke off
+	broken    int       // attempts broken off in a row
 	level     int       // grows the next term of ejection
 	credit    float64   // work that this node may still send it while it is cold
 	shown     Report    // its last report
