--- a/cmd/weldscale/config.go
+++ b/cmd/weldscale/config.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	operator "weldscale/internal/config"
 	"weldscale/internal/engine"
 	"weldscale/internal/jobs"
 	"weldscale/internal/wire"
@@ -33,6 +34,7 @@
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 
+	file           operator.File // the operator's
 	engine         engine.Config
 	classes        []string
 	reports        *jobs.Reports
--- a/cmd/weldscale/main.go
+++ b/cmd/weldscale/main.go
@@ -11,12 +11,17 @@
 	"reflect"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
+	"github.com/alecthomas/kong"
+
+	operator "weldscale/internal/config"
 	"weldscale/internal/engine"
 	"weldscale/internal/jobs"
 	"weldscale/internal/net"
+	"weldscale/internal/pace"
 )
 
 const (
@@ -25,23 +30,47 @@
 	openFor = 600 * time.Millisecond
 	// lastWords is how long the last answers have to leave.
 	lastWords = 100 * time.Millisecond
+	// unsentFor is how long after the signal answers that clients take slowly may hold up the end.
+	unsentFor = 3500 * time.Millisecond
 )
 
+// cli is the command line.
+type cli struct {
+	Config string `help:"The operator's file, in HCL; see deploy/weldscale.hcl. None is needed." placeholder:"FILE"`
+}
+
 func main() {
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "weldscale:", err)
+	var args cli
+	kong.Parse(&args, kong.Name("weldscale"), kong.Description("A job scheduler. GW_CONFIG names its configuration."))
+	if err := run(args); err != nil {
+		for line := range strings.Lines(err.Error()) {
+			fmt.Fprintln(os.Stderr, "weldscale:", strings.TrimSuffix(line, "\n"))
+		}
 		os.Exit(1)
 	}
 }
 
-func run() error {
+// read reads the platform's configuration and the operator's file.
+func (args cli) read() (*config, error) {
+	c, err := load(os.Getenv)
+	if err != nil {
+		return nil, err
+	}
+	c.file = operator.Default(c.Limits.MemoryMB << 20)
+	if args.Config != "" {
+		c.file, err = operator.Read(args.Config, c.Limits.MemoryMB<<20)
+	}
+	return c, err
+}
+
+func run(args cli) error {
 	// First of all, since unheard they would end the program. A reload that is asked for while one waits is the
 	// same one, but must not take the place of a stop.
 	hups, signals := make(chan os.Signal, 1), make(chan os.Signal, 4)
 	signal.Notify(hups, syscall.SIGHUP)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	c, err := load(os.Getenv)
+	c, err := args.read()
 	if err != nil {
 		return err
 	}
@@ -56,7 +85,7 @@
 	slog.Info("serving", "name", c.Name, "listen", s.driver.Addr())
 	go func() {
 		for range hups {
-			c, err := load(os.Getenv)
+			c, err := args.read()
 			s.loop.Post(func() { s.reload(c, err) })
 		}
 	}()
@@ -64,7 +93,7 @@
 		for got := range signals {
 			s.loop.Post(func() {
 				if got == syscall.SIGUSR1 {
-					slog.Info("counters", "counts", s.e.Counts.String())
+					slog.Info("counters", "counts", s.server.Stats())
 				} else {
 					slog.Info("stopping", "signal", got.String(), "open", s.e.Open())
 					s.stop()
@@ -73,15 +102,12 @@
 		}
 	}()
 	s.loop.Run()
-	slog.Info("stopped", "open", s.e.Open(), "counts", s.e.Counts.String())
+	slog.Info("stopped", "open", s.e.Open(), "counts", s.server.Stats())
 	return nil
 }
 
 func setMemory(c *config) { debug.SetMemoryLimit(int64(c.Limits.MemoryMB) << 20 * 6 / 10) }
 
-// maxHeld is the part of the memory that requests may fill.
-func (c *config) maxHeld() int { return c.Limits.MemoryMB << 20 / 8 }
-
 // scheduler is the parts, wired.
 type scheduler struct {
 	c         *config // in force
@@ -89,6 +115,7 @@
 	e         *engine.Engine
 	driver    *net.Driver
 	server    *jobs.Server
+	workers   *jobs.Workers
 	discovery *jobs.Discovery
 	stopping  time.Time // when the stop began
 	closed    bool      // the door is
@@ -103,20 +130,24 @@
 	}
 	driver := net.New(loop, net.Config{Descriptors: c.Limits.Sockets, ConnectTimeout: c.connectTimeout, IdleLimit: c.idleLimit})
 	server := jobs.NewServer(e, c.classes)
-	server.MaxHeld = c.maxHeld()
+	server.Pace = pace.New(c.file.SlowPeers)
+	server.Stats = func() string {
+		return fmt.Sprintf("%s %s goroutines=%d", &e.Counts, server.Pace.Counts(), runtime.NumGoroutine())
+	}
 	driver.Accepted = server.Serve
-	driver.ShedIdle = server.CloseIdle
+	driver.ShedIdle = server.MakeRoom
 	driver.Counted = func(dials, failed, shed int) {
 		e.Counts.Dials += dials
 		e.Counts.DialsFailed += failed
 		e.Counts.Shed += shed
 	}
 	discovery := &jobs.Discovery{Engine: e, Dialer: driver, Addr: c.Discovery}
-	e.Use(&jobs.Workers{Engine: e, Dialer: driver, Reports: c.reports, Host: "app.svc"}, discovery)
+	workers := &jobs.Workers{Engine: e, Dialer: driver, Reports: c.reports, Host: "app.svc", Pace: c.file.Workers}
+	e.Use(workers, discovery)
 	if err := discovery.Known(c.Known); err != nil {
 		return nil, err
 	}
-	return &scheduler{c: c, loop: loop, e: e, driver: driver, server: server, discovery: discovery}, driver.Listen(c.Listen)
+	return &scheduler{c: c, loop: loop, e: e, driver: driver, server: server, workers: workers, discovery: discovery}, driver.Listen(c.Listen)
 }
 
 // reload puts a new configuration in force, as far as a running scheduler can: where discovery is and the
@@ -129,9 +160,10 @@
 	old := s.c
 	slog.Info("new configuration", "discovery", c.Discovery, "restart_needed", c.Name != old.Name ||
 		c.Listen != old.Listen || !reflect.DeepEqual(c.engine.Settings, old.engine.Settings))
-	old.Discovery, old.Limits = c.Discovery, c.Limits
+	old.Discovery, old.Limits, old.file = c.Discovery, c.Limits, c.file
 	setMemory(old)
-	s.server.MaxHeld = old.maxHeld()
+	s.server.Pace.SetLimits(c.file.SlowPeers)
+	s.workers.Pace = c.file.Workers
 	s.driver.SetDescriptors(c.Limits.Sockets)
 	s.discovery.Move(c.Discovery)
 }
@@ -150,9 +182,9 @@
 		s.closed = true
 		s.driver.StopListening()
 		s.server.Shut()
-		s.server.CloseIdle(1<<30, false)
+		s.server.CloseIdle()
 	}
-	if s.closed && s.e.Open() == 0 {
+	if s.closed && s.e.Open() == 0 && (s.driver.Unsent() == 0 || time.Since(s.stopping) >= unsentFor) {
 		// The last answers are with the system; the exit must not overtake their way there.
 		s.loop.After(lastWords, s.loop.Stop)
 		return
--- a/cmd/weldscale/rules_test.go
+++ b/cmd/weldscale/rules_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	operator "weldscale/internal/config"
 	"weldscale/internal/standin"
 )
 
@@ -53,12 +54,19 @@
 }
 
 // startBench starts a scheduler that knows these workers.
-func startBench(t *testing.T, entries ...standin.Entry) *bench {
+func startBench(t *testing.T, entries ...standin.Entry) *bench { return startBenchWith(t, entries) }
+
+// startBenchWith does so with changes to its configuration.
+func startBenchWith(t *testing.T, entries []standin.Entry, change ...func(*config)) *bench {
 	b := &bench{t: t, end: make(chan struct{}), discovery: startDiscovery(t, entries...)}
 	path := filepath.Join(t.TempDir(), "config.json")
 	writeConfig(t, path, standin.Site{Discovery: b.discovery.Addr(), Known: b.discovery.Known()})
 	c, err := load(func(key string) string { return map[string]string{"GW_CONFIG": path}[key] })
 	require.NoError(t, err)
+	c.file = operator.Default(c.Limits.MemoryMB << 20)
+	for _, f := range change {
+		f(c)
+	}
 	b.s, err = start(c)
 	require.NoError(t, err)
 	b.addr = b.s.driver.Addr()
@@ -211,6 +219,10 @@
 func TestMain(m *testing.M) {
 	switch os.Getenv("WELDSCALE_TEST") {
 	case "program":
+		os.Args = os.Args[:1] // of the test binary's flags
+		if file := os.Getenv("WELDSCALE_FILE"); file != "" {
+			os.Args = append(os.Args, "--config", file)
+		}
 		main()
 		os.Exit(0)
 	case "proxy":
--- /dev/null
+++ b/cmd/weldtrial/main.go
@@ -0,0 +1,145 @@
+// Command weldtrial plays trials against a real scheduler on this machine and prints a table of each: stand-in workers,
+// discovery and clients in this process, the scheduler in one of its own, all on loopback addresses. This file owns
+// the command line and what all trials share. It must never judge by a figure that another machine would not show:
+// each trial compares its rows with its own first one.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"golang.org/x/sys/unix"
+
+	"weldscale/internal/standin"
+)
+
+type cli struct {
+	Scheduler string        `help:"The scheduler's program; by default the weldscale beside this one." placeholder:"FILE"`
+	For       time.Duration `help:"How long each row plays." default:"10s"`
+	Seed      uint64        `help:"Of the clients' jobs and their times." default:"1"`
+	Logs      bool          `help:"Show the scheduler's log."`
+
+	SlowPeers slowPeers `cmd:"" name:"slow-peers" help:"Normal traffic alone, beside slow senders and readers, and with few descriptors."`
+}
+
+func main() {
+	var args cli
+	parsed := kong.Parse(&args, kong.Name("weldtrial"), kong.Description("Trials of a real scheduler on this machine."))
+	if args.Scheduler == "" {
+		self, err := os.Executable()
+		parsed.FatalIfErrorf(err)
+		args.Scheduler = filepath.Join(filepath.Dir(self), "weldscale")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	parsed.FatalIfErrorf(parsed.Run(&args))
+}
+
+// scheduler is one that runs in a process of its own.
+type scheduler struct {
+	addr string
+	cmd  *exec.Cmd
+	dir  string
+}
+
+// start starts the scheduler and waits until it is ready. The operator's file may be "".
+func (a *cli) start(ctx context.Context, site standin.Site, file string) (*scheduler, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &scheduler{addr: ln.Addr().String()}
+	ln.Close()
+	site.Listen = s.addr
+	if s.dir, err = os.MkdirTemp("", "weldtrial"); err != nil {
+		return nil, err
+	}
+	conf := filepath.Join(s.dir, "config.json")
+	if err := os.WriteFile(conf, site.Config(), 0o600); err != nil {
+		return nil, err
+	}
+	s.cmd = exec.Command(a.Scheduler)
+	if file != "" {
+		path := filepath.Join(s.dir, "weldscale.hcl")
+		if err := os.WriteFile(path, []byte(file), 0o600); err != nil {
+			return nil, err
+		}
+		s.cmd.Args = append(s.cmd.Args, "--config", path)
+	}
+	s.cmd.Env = append(os.Environ(), "GW_CONFIG="+conf)
+	if a.Logs {
+		s.cmd.Stderr = os.Stderr
+	}
+	if err := s.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("%w (go build -o bin/ ./cmd/... makes both programs)", err)
+	}
+	for limit := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if resp, err := http.Get("http://" + s.addr + "/-/ready"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == 200 {
+				return s, nil
+			}
+		}
+		if time.Now().After(limit) || ctx.Err() != nil {
+			s.stop()
+			return nil, fmt.Errorf("the scheduler is not ready")
+		}
+	}
+}
+
+func (s *scheduler) stop() {
+	_ = s.cmd.Process.Kill()
+	_ = s.cmd.Wait()
+	_ = os.RemoveAll(s.dir)
+}
+
+// cpu is the processor time that the scheduler has used.
+func (s *scheduler) cpu() time.Duration {
+	var clock unix.Timespec
+	if unix.ClockGettime(int32(^s.cmd.Process.Pid<<3|2), &clock) != nil { // its CPU clock, as clock_getcpuclockid(3)
+		return 0
+	}
+	return time.Duration(clock.Nano())
+}
+
+// memory is the most that the scheduler has had in memory, in MiB.
+func (s *scheduler) memory() float64 {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.cmd.Process.Pid))
+	_, rest, _ := strings.Cut(string(text), "VmHWM:")
+	fields := strings.Fields(rest)
+	if len(fields) == 0 {
+		return 0
+	}
+	kb, _ := strconv.ParseFloat(fields[0], 64)
+	return kb / 1024
+}
+
+// counter reads counters off a scheduler's statistics.
+func (s *scheduler) counters() map[string]string {
+	out := map[string]string{}
+	resp, err := http.Get("http://" + s.addr + "/-/stats")
+	if err != nil {
+		return out
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	for _, word := range strings.Fields(string(text)) {
+		if name, value, ok := strings.Cut(word, "="); ok {
+			out[name] = value
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,317 @@
+// Package config reads the operator's file, in HCL, into plain types. It owns the names of all settings with their
+// units, bounds and defaults, and reports every fault with file, line, column and what is allowed. It must never
+// decide anything, nor keep what it read: who asks again gets what stands in the file then.
+package config
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/dustin/go-humanize"
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclparse"
+	"github.com/zclconf/go-cty/cty"
+
+	"weldscale/internal/pace"
+)
+
+// File is what an operator's file says, with the defaults where it says nothing.
+type File struct {
+	SlowPeers pace.Limits // with the links
+	Workers   pace.Rate
+}
+
+// Default is what holds without a file, for a scheduler of that much memory.
+func Default(memory int) File {
+	return File{SlowPeers: pace.Defaults(memory / 8), Workers: pace.Workers()}
+}
+
+// unit is what a setting is measured in, and so how it may be written.
+type unit string
+
+const (
+	rate  unit = "rate"  // "4KiB", bytes a second
+	span  unit = "span"  // "2.5s"
+	size  unit = "size"  // "512KiB"
+	count unit = "count" // 64
+)
+
+// Setting is one setting of a block.
+type Setting struct {
+	Block, Name string
+	Unit        unit
+	Least, Most float64 // in bytes a second, microseconds, bytes or as it is
+	Doc         string
+	at          func(*File) any // *float64, *pace.Time or *int
+}
+
+const (
+	minute = 60e6
+	hour   = 60 * minute
+	gib    = 1 << 30
+)
+
+// Settings is every setting of the blocks that stand once.
+var Settings = []Setting{
+	{"slow_peers", "least_rate_in", rate, 1, gib, "least rate at which a client's request comes in", func(f *File) any { return &f.SlowPeers.In.Least }},
+	{"slow_peers", "least_rate_out", rate, 1, gib, "least rate at which a client takes its answer", func(f *File) any { return &f.SlowPeers.Out.Least }},
+	{"slow_peers", "grace_in", span, 1e5, hour, "how long a request may bring nothing at its start, the first one since the connection", func(f *File) any { return &f.SlowPeers.In.Grace }},
+	{"slow_peers", "grace_out", span, 1e5, hour, "how long nothing of an answer may be taken at its start", func(f *File) any { return &f.SlowPeers.Out.Grace }},
+	{"slow_peers", "span_in", span, 1e5, hour, "how long a request may bring nothing later; bytes ahead of the rate count for as much", func(f *File) any { return &f.SlowPeers.In.Span }},
+	{"slow_peers", "span_out", span, 1e5, hour, "the same of an answer", func(f *File) any { return &f.SlowPeers.Out.Span }},
+	{"slow_peers", "ceiling_in", span, 0, 24 * hour, "how long a request may take in all; 0: as long as it keeps its rate", func(f *File) any { return &f.SlowPeers.In.Ceiling }},
+	{"slow_peers", "ceiling_out", span, 0, 24 * hour, "how long an answer may take in all; 0: as long as it keeps its rate", func(f *File) any { return &f.SlowPeers.Out.Ceiling }},
+	{"slow_peers", "total", size, 64 << 10, 64 * gib, "bytes that may wait for all clients; an eighth of the memory unless set", func(f *File) any { return &f.SlowPeers.TotalBytes }},
+	{"slow_peers", "per_prefix", size, 64 << 10, 64 * gib, "bytes that may wait for one network prefix; half of total unless set", func(f *File) any { return &f.SlowPeers.PrefixBytes }},
+	{"slow_peers", "per_peer", size, 64 << 10, gib, "bytes that may wait for one connection", func(f *File) any { return &f.SlowPeers.PeerBytes }},
+	{"slow_peers", "most", count, 1, 1 << 20, "how many peers may be slow at once; the least promising is cut beyond", func(f *File) any { return &f.SlowPeers.SlowPeers }},
+	{"slow_peers", "most_per_prefix", count, 1, 1 << 20, "how many of one prefix", func(f *File) any { return &f.SlowPeers.SlowPerPrefix }},
+	{"slow_peers", "prefix_v4", count, 8, 32, "bits of an IPv4 prefix", func(f *File) any { return &f.SlowPeers.V4Bits }},
+	{"slow_peers", "prefix_v6", count, 16, 128, "bits of an IPv6 prefix", func(f *File) any { return &f.SlowPeers.V6Bits }},
+	{"slow_peers", "hurry", span, 1e4, minute, "how long a transfer is spared while descriptors or memory run short", func(f *File) any { return &f.SlowPeers.Hurry }},
+	{"slow_peers", "fresh", span, 0, minute, "how long a new connection is spared then", func(f *File) any { return &f.SlowPeers.Fresh }},
+	{"slow_peers", "crowd", count, 1, 100, "per cent of all connections from which on a prefix is spared no time then", func(f *File) any { return &f.SlowPeers.Crowd }},
+	{"slow_peers", "remember", count, 1, 1 << 20, "how many addresses that were cut are remembered", func(f *File) any { return &f.SlowPeers.Remember }},
+	{"slow_peers", "forgive", span, 1e6, 24 * hour, "for how long; each cut halves the grace", func(f *File) any { return &f.SlowPeers.Forgive }},
+	{"slow_peers", "least_grace", span, 1e5, hour, "the grace that is left to such an address at least", func(f *File) any { return &f.SlowPeers.LeastGrace }},
+	{"workers", "least_rate", rate, 1, gib, "least rate at which a worker takes a request or writes a line of its answer", func(f *File) any { return &f.Workers.Least }},
+	{"workers", "grace", span, 1e5, hour, "how long nothing may pass at its start", func(f *File) any { return &f.Workers.Grace }},
+	{"workers", "span", span, 1e5, hour, "how long nothing may pass later", func(f *File) any { return &f.Workers.Span }},
+	{"workers", "ceiling", span, 0, 24 * hour, "how long a request or a line may take in all; 0: as long as it keeps its rate", func(f *File) any { return &f.Workers.Ceiling }},
+}
+
+const maxLinks = 256
+
+// layout is the file's blocks, as gohcl reads them.
+type layout struct {
+	SlowPeers *block  `hcl:"slow_peers,block"`
+	Workers   *block  `hcl:"workers,block"`
+	Links     []*link `hcl:"link,block"`
+}
+
+type block struct {
+	Body hcl.Body `hcl:",remain"`
+}
+
+type link struct {
+	Name     string         `hcl:"name,label"`
+	Prefixes hcl.Expression `hcl:"prefixes"`
+	Rate     hcl.Expression `hcl:"least_rate"`
+}
+
+// Read reads an operator's file for a scheduler of that much memory. Its error has one line for each fault.
+func Read(path string, memory int) (File, error) {
+	f := Default(memory)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return f, err
+	}
+	r := reader{file: &f}
+	parsed, diags := hclparse.NewParser().ParseHCL(text, path)
+	r.diags = diags
+	if parsed != nil && !diags.HasErrors() {
+		var l layout
+		r.diags = append(r.diags, gohcl.DecodeBody(parsed.Body, nil, &l)...)
+		r.block("slow_peers", l.SlowPeers)
+		r.block("workers", l.Workers)
+		r.links(l.Links)
+	}
+	return f, r.faults()
+}
+
+// reader gathers what a file says and its faults.
+type reader struct {
+	file  *File
+	diags hcl.Diagnostics
+}
+
+func (r *reader) fault(at hcl.Range, format string, args ...any) {
+	r.diags = append(r.diags, &hcl.Diagnostic{Severity: hcl.DiagError, Summary: fmt.Sprintf(format, args...), Subject: &at})
+}
+
+// block reads the settings of a block.
+func (r *reader) block(name string, b *block) {
+	if b == nil || b.Body == nil {
+		return
+	}
+	attrs, diags := b.Body.JustAttributes()
+	r.diags = append(r.diags, diags...)
+	var known []string
+	set := map[string]bool{}
+	for _, s := range Settings {
+		if s.Block != name {
+			continue
+		}
+		known = append(known, s.Name)
+		if a := attrs[s.Name]; a != nil {
+			delete(attrs, s.Name)
+			if v, ok := r.figure(a.Expr, s.Unit, s.Least, s.Most); ok {
+				set[s.Name] = true
+				switch at := s.at(r.file).(type) {
+				case *float64:
+					*at = v
+				case *pace.Time:
+					*at = pace.Time(v)
+				case *int:
+					*at = int(v)
+				}
+			}
+		}
+	}
+	for _, a := range attrs {
+		r.fault(a.NameRange, "%s: no such setting; allowed: %s", a.Name, strings.Join(known, ", "))
+	}
+	if p := &r.file.SlowPeers; set["total"] && !set["per_prefix"] {
+		p.PrefixBytes = p.TotalBytes / 2
+	}
+	if p := &r.file.SlowPeers; set["total"] && !set["per_peer"] {
+		p.PeerBytes = min(p.PeerBytes, p.PrefixBytes)
+	}
+}
+
+var forms = map[unit]string{rate: `bytes a second, such as 4096 or "4KiB"`, span: `a span, such as "2.5s" or "300ms"`,
+	size: `bytes, such as 65536 or "64KiB"`, count: "a whole number"}
+
+// figure reads one figure within its bounds.
+func (r *reader) figure(e hcl.Expression, u unit, least, most float64) (float64, bool) {
+	v, diags := e.Value(nil)
+	r.diags = append(r.diags, diags...)
+	if diags.HasErrors() {
+		return 0, false
+	}
+	f, ok := read(v, u)
+	if !ok {
+		r.fault(e.Range(), "allowed is %s", forms[u])
+		return 0, false
+	}
+	if f < least || f > most {
+		r.fault(e.Range(), "out of range; allowed is %s to %s", show(least, u), show(most, u))
+		return 0, false
+	}
+	return f, true
+}
+
+func read(v cty.Value, u unit) (float64, bool) {
+	switch {
+	case v.IsNull() || !v.IsKnown():
+		return 0, false
+	case v.Type() == cty.Number:
+		f, _ := v.AsBigFloat().Float64()
+		return f, u != span && (u == rate || f == math.Trunc(f))
+	case v.Type() == cty.String && u == span:
+		d, err := time.ParseDuration(v.AsString())
+		return float64(d / time.Microsecond), err == nil
+	case v.Type() == cty.String && u != count:
+		text, isRate := strings.CutSuffix(v.AsString(), "/s")
+		n, err := humanize.ParseBytes(text)
+		return float64(n), err == nil && (u == rate || !isRate)
+	}
+	return 0, false
+}
+
+func show(v float64, u unit) string {
+	switch u {
+	case span:
+		return (time.Duration(v) * time.Microsecond).String()
+	case count:
+		return fmt.Sprint(int(v))
+	}
+	return strings.ReplaceAll(humanize.IBytes(uint64(v)), " ", "")
+}
+
+// Default of the setting as an operator would write it, for a scheduler of that much memory.
+func (s Setting) Default(memory int) string {
+	f := Default(memory)
+	switch at := s.at(&f).(type) {
+	case *float64:
+		return show(*at, s.Unit)
+	case *pace.Time:
+		return show(float64(*at), s.Unit)
+	default:
+		return show(float64(*at.(*int)), s.Unit)
+	}
+}
+
+func (r *reader) links(links []*link) {
+	taken := map[netip.Prefix]string{}
+	names := map[string]bool{}
+	for i, l := range links {
+		if i == maxLinks {
+			r.fault(l.Prefixes.Range(), "more than %d links", maxLinks)
+			return
+		}
+		if names[l.Name] {
+			r.fault(l.Prefixes.Range(), "link %q stands twice", l.Name)
+		}
+		names[l.Name] = true
+		out := pace.Link{Name: l.Name}
+		out.In, _ = r.figure(l.Rate, rate, 1, gib)
+		out.Out = out.In
+		for _, p := range r.prefixes(l.Prefixes) {
+			if other, ok := taken[p]; ok {
+				r.fault(l.Prefixes.Range(), "prefix %v is link %q's already", p, other)
+			}
+			taken[p] = l.Name
+			out.Prefixes = append(out.Prefixes, p)
+		}
+		r.file.SlowPeers.Links = append(r.file.SlowPeers.Links, out)
+	}
+}
+
+// prefixes reads a list of network prefixes.
+func (r *reader) prefixes(e hcl.Expression) (out []netip.Prefix) {
+	const form = `allowed is a list of prefixes, such as ["10.5.0.0/16", "fd00:5::/32"]`
+	items, diags := hcl.ExprList(e)
+	if diags.HasErrors() || len(items) == 0 {
+		r.fault(e.Range(), form)
+		return nil
+	}
+	for _, item := range items {
+		var text string
+		if gohcl.DecodeExpression(item, nil, &text).HasErrors() {
+			r.fault(item.Range(), form)
+			continue
+		}
+		p, err := netip.ParsePrefix(text)
+		switch {
+		case err != nil:
+			r.fault(item.Range(), "%q is no prefix; %s", text, form)
+		case p != p.Masked():
+			r.fault(item.Range(), "%q has bits behind its length; allowed is %v", text, p.Masked())
+		default:
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// faults is the error of all faults, in order of their places.
+func (r *reader) faults() error {
+	slices.SortStableFunc(r.diags, func(a, b *hcl.Diagnostic) int {
+		if a.Subject == nil || b.Subject == nil {
+			return 0
+		}
+		return cmp.Compare(a.Subject.Start.Byte, b.Subject.Start.Byte)
+	})
+	var all []error
+	for _, d := range r.diags {
+		text := d.Summary
+		if d.Detail != "" {
+			text += ": " + d.Detail
+		}
+		text = strings.Join(strings.Fields(text), " ")
+		if d.Subject != nil {
+			text = fmt.Sprintf("%s:%d:%d: %s", d.Subject.Filename, d.Subject.Start.Line, d.Subject.Start.Column, text)
+		}
+		all = append(all, errors.New(text))
+	}
+	return errors.Join(all...)
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,112 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"weldscale/internal/pace"
+)
+
+const memory = 64 << 20
+
+func write(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "w.hcl")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// The example says the defaults, so that it can be a start for an operator's own.
+func TestExample(t *testing.T) {
+	f, err := Read("../../deploy/weldscale.hcl", memory)
+	require.NoError(t, err)
+	want := Default(memory)
+	want.SlowPeers.Links = f.SlowPeers.Links
+	assert.Equal(t, want, f)
+	assert.NotEmpty(t, f.SlowPeers.Links)
+	text, err := os.ReadFile("../../deploy/weldscale.hcl")
+	require.NoError(t, err)
+	for _, s := range Settings {
+		assert.Contains(t, string(text), s.Name+" ", "the example lacks a setting")
+	}
+}
+
+func TestRead(t *testing.T) {
+	f, err := Read(write(t, `slow_peers {
+  least_rate_in = "10KB/s"
+  grace_in      = "300ms"
+  total         = 1000000
+  most          = 7
+}
+workers { least_rate = 512 }
+link "murun" {
+  prefixes   = ["10.5.0.0/16", "fd00:5::/32"]
+  least_rate = "1KiB"
+}`), memory)
+	require.NoError(t, err)
+	assert.Equal(t, 10000.0, f.SlowPeers.In.Least)
+	assert.Equal(t, pace.Time(300000), f.SlowPeers.In.Grace)
+	assert.Equal(t, 1000000, f.SlowPeers.TotalBytes)
+	assert.Equal(t, 500000, f.SlowPeers.PrefixBytes, "half of the total unless set")
+	assert.Equal(t, 7, f.SlowPeers.SlowPeers)
+	assert.Equal(t, 512.0, f.Workers.Least)
+	assert.Equal(t, 1024.0, f.SlowPeers.Links[0].Out)
+	assert.Equal(t, Default(memory).SlowPeers.Out, f.SlowPeers.Out)
+}
+
+// Every fault of a file is told, each with its place and what is allowed.
+func TestFaults(t *testing.T) {
+	_, err := Read(write(t, `slow_peers {
+  grace_in  = 3
+  span_in   = "1h30m"
+  least_rate_in = "fast"
+  most      = 1.5
+  sope      = 1
+  total     = "64KiB/s"
+  prefix_v4 = 33
+}
+link "a" {
+  prefixes   = ["10.5.0.0/8", "nowhere"]
+  least_rate = 0
+}
+link "a" {
+  prefixes   = "10.0.0.0/8"
+  least_rate = "1KB"
+}
+link "b" {
+  prefixes   = ["10.0.0.0/8", "10.0.0.0/8"]
+  least_rate = "1KB"
+}`), memory)
+	require.Error(t, err)
+	lines := strings.Split(err.Error(), "\n")
+	want := []string{":2:15: allowed is a span", `:3:15: out of range; allowed is 100ms to 1h0m0s`, ":4:19: allowed is bytes a second",
+		":5:15: allowed is a whole number", ":6:3: sope: no such setting; allowed: least_rate_in", ":7:15: allowed is bytes, such",
+		":8:15: out of range; allowed is 8 to 32", `:11:17: "10.5.0.0/8" has bits behind its length; allowed is 10.0.0.0/8`,
+		`:11:31: "nowhere" is no prefix`, ":12:16: out of range; allowed is 1B to 1.0GiB", `:15:16: link "a" stands twice`,
+		":15:16: allowed is a list of prefixes", `:19:16: prefix 10.0.0.0/8 is link "b"'s already`}
+	require.Len(t, lines, len(want), err.Error())
+	for i, w := range want {
+		assert.Contains(t, lines[i], w)
+	}
+	for text, want := range map[string]string{
+		"slow_peers {":                      ":1:", // not closed
+		"slow_peers = 1":                    "Unsupported argument",
+		"fast_peers {}":                     "fast_peers",
+		"slow_peers {}\n" + "slow_peers {}": "Duplicate slow_peers block",
+		"link \"x\" {}":                     "prefixes",
+	} {
+		_, err := Read(write(t, text), memory)
+		if assert.Error(t, err, text) {
+			assert.Contains(t, err.Error(), want)
+			for _, line := range strings.Split(err.Error(), "\n") {
+				assert.Regexp(t, `w\.hcl:\d+:\d+: `, line)
+			}
+		}
+	}
+	_, err = Read(t.TempDir(), memory)
+	assert.ErrorContains(t, err, "is a directory")
+}
--- a/internal/engine/counts.go
+++ b/internal/engine/counts.go
@@ -18,6 +18,7 @@
 	ListNews, ListFailed                    int
 	Dials, DialsFailed                      int
 	Shed                                    int           // connections closed to stay within the descriptor budget
+	SlowWorkers                             int           // exchanges ended since the worker took or wrote too slowly
 	Lag                                     time.Duration // the longest that one piece of work has kept the loop
 }
 
@@ -38,7 +39,7 @@
 			}
 		}
 	}
-	fmt.Fprintf(&b, " list_news=%d list_failed=%d dials=%d dials_failed=%d shed=%d loop_lag_ms=%.1f",
-		c.ListNews, c.ListFailed, c.Dials, c.DialsFailed, c.Shed, c.Lag.Seconds()*1e3)
+	fmt.Fprintf(&b, " list_news=%d list_failed=%d dials=%d dials_failed=%d shed=%d slow_workers=%d loop_lag_ms=%.1f",
+		c.ListNews, c.ListFailed, c.Dials, c.DialsFailed, c.Shed, c.SlowWorkers, c.Lag.Seconds()*1e3)
 	return b.String()
 }
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -97,6 +97,7 @@
 	queue chan func()
 	start time.Time
 	wheel wheel
+	next  []func() // to run after the work at hand
 	quit  bool
 	ended chan struct{}  // closed after Run
 	lag   *time.Duration // the longest that a piece of work has kept the loop
@@ -131,6 +132,19 @@
 	}
 }
 
+// Next runs f after the work at hand, before anything else. Only for code on the loop: what reports back to a caller
+// that is still at work goes this way.
+func (l *Loop) Next(f func()) { l.next = append(l.next, f) }
+
+// settle runs what Next was given, in order, and what that asks for in turn.
+func (l *Loop) settle() {
+	for i := 0; i < len(l.next); i++ {
+		l.next[i]()
+		l.next[i] = nil
+	}
+	l.next = l.next[:0]
+}
+
 // After calls f on the loop once the span has passed. Only for code on the loop.
 func (l *Loop) After(span time.Duration, f func()) *Timer {
 	at := time.Since(l.start) + max(0, span)
@@ -158,10 +172,12 @@
 		case f := <-l.queue:
 			began := time.Now()
 			f()
+			l.settle()
 			*l.lag = max(*l.lag, time.Since(began))
 		case <-alarm.C:
 			armed = -1
 		}
 		l.wheel.advance(int64(time.Since(l.start) / tickSpan))
+		l.settle()
 	}
 }
--- a/internal/jobs/client.go
+++ b/internal/jobs/client.go
@@ -2,11 +2,9 @@
 
 import (
 	"bytes"
-	"cmp"
 	"errors"
 	"hash/fnv"
 	"math"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -14,6 +12,7 @@
 	"weldscale/decide"
 	"weldscale/internal/engine"
 	"weldscale/internal/http1"
+	"weldscale/internal/pace"
 )
 
 // This file owns the clients' side: from bytes to a request of the engine, and from its answer to bytes. It
@@ -24,14 +23,13 @@
 	sentAgo       = time.Millisecond // about what a request is on its way: its budget counts from its sending
 	maxBudget     = 24 * time.Hour
 	maxSlots      = 1 << 20
-	slowest       = 2500 * time.Millisecond // for a request to come in whole, the first one since the connection came
 	longestMethod = 16
 	maxWord       = 256  // of an id or a key
 	maxIDs        = 4096 // of requests answered lately
 )
 
-// crossing is how long a first request may lag behind its connection, well above what a network takes.
-const crossing = 100 * time.Millisecond
+// stall is how late a look at a peer may come before it is our own lateness that is looked at.
+const stall = decide.Time(50 * time.Millisecond / time.Microsecond)
 
 // Server makes requests of what clients send.
 type Server struct {
@@ -41,23 +39,20 @@
 	Ready func() bool
 	// Stats is the text of the counters.
 	Stats func() string
-	// MaxHeld bounds the bytes of all requests that are coming in or in hand; 0: not at all.
-	MaxHeld int
+	// Pace decides how slow a client may be, what may wait for it and who goes as room runs short.
+	Pace *pace.Keeper
 
-	held    int
 	closing bool
 	shut    bool
-	idle    map[*client]struct{} // connections between two requests
-	turn    uint64               // counts the times that one became so
-	ids     map[string]struct{}  // of the requests that are open or were answered lately
-	lately  []string             // the latter, a ring
-	oldest  int                  // of the ring
+	ids     map[string]struct{} // of the requests that are open or were answered lately
+	lately  []string            // the latter, a ring
+	oldest  int                 // of the ring
 }
 
 // NewServer returns a server of the engine's requests; the classes are named in the order of the settings.
 func NewServer(e *engine.Engine, classes []string) *Server {
 	s := &Server{Engine: e, Classes: map[string]int{}, Ready: e.Ready, Stats: e.Counts.String,
-		idle: map[*client]struct{}{}, ids: map[string]struct{}{}}
+		Pace: pace.New(pace.Defaults(8 << 20)), ids: map[string]struct{}{}}
 	for i, name := range classes {
 		s.Classes[name] = i
 	}
@@ -66,9 +61,9 @@
 
 // Serve takes over a new connection of a client.
 func (s *Server) Serve(c Conn) {
-	x := &client{s: s, conn: c, parser: http1.NewRequestParser(), came: s.Engine.Now()}
-	s.rest(x)
-	x.slow = s.Engine.After(slowest, x.tooSlow)
+	x := &client{s: s, conn: c, parser: http1.NewRequestParser()}
+	x.peer = s.Pace.Open(s.Engine.Now(), c.Peer(), x)
+	x.arm()
 	c.SetHandler(x)
 }
 
@@ -78,45 +73,21 @@
 // Shut refuses what comes whole only from here on: there may be no time left to end it.
 func (s *Server) Shut() { s.closing, s.shut = true, true }
 
-// CloseIdle closes up to n connections that are between two requests and returns how many; with strangers only
-// those that never brought a job. Strangers go first, then the longest idle. On a connection that has just come
-// the first request may be on its way, and its client would take the close for a failure: those go last.
-func (s *Server) CloseIdle(n int, strangers bool) int {
-	type candidate struct {
-		x    *client
-		rank int
-	}
-	var idle []candidate
-	now := s.Engine.Now()
-	for x := range s.idle {
-		rank := 0
-		switch {
-		case !x.parser.Idle():
-			continue
-		case x.known:
-			rank = 1
-		case now-x.came < int64(crossing/time.Microsecond):
-			rank = 2
-		}
-		if rank == 0 || !strangers {
-			idle = append(idle, candidate{x, rank})
-		}
+// MakeRoom lets go of up to n connections, those that are worth least first, and returns how many; with strangers only
+// of those that never brought a job or are slower than is acceptable. It never touches one with a job in hand.
+func (s *Server) MakeRoom(n int, strangers bool) int {
+	victims := s.Pace.Victims(s.Engine.Now(), n, strangers)
+	for _, p := range victims {
+		p.Owner.(*client).letGo()
 	}
-	slices.SortFunc(idle, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.x.since, b.x.since))
-	})
-	idle = idle[:min(n, len(idle))]
-	for _, c := range idle {
-		c.x.end()
-		c.x.conn.Close()
-	}
-	return len(idle)
+	return len(victims)
 }
 
-func (s *Server) rest(x *client) {
-	s.turn++
-	x.since = s.turn
-	s.idle[x] = struct{}{}
+// CloseIdle closes every connection that is between two requests.
+func (s *Server) CloseIdle() {
+	for _, p := range s.Pace.Idle() {
+		p.Owner.(*client).close()
+	}
 }
 
 // client is one connection. It holds one request at a time; what comes ahead of an answer waits until that has
@@ -132,15 +103,18 @@
 	over      bool
 	keepAlive bool
 	continued bool
-	known     bool          // it brought a job
-	held      int           // its part of the server's
-	came      decide.Time   // when the connection did
-	since     uint64        // the server's turn when it last became idle
-	slow      *engine.Timer // runs while a request is coming in
+	peer      *pace.Peer
+	look      *engine.Timer // the next one at the peer
+	lookAt    decide.Time
+	untaken   int // bytes of the answer, as last seen
 }
 
 // Data implements Handler.
 func (x *client) Data(b []byte) {
+	if len(b) > 0 && !x.busy && !x.over {
+		x.peer.Received(x.s.Engine.Now(), len(b))
+		x.arm()
+	}
 	for len(b) > 0 && !x.busy && !x.over {
 		n, whole, err := x.parser.Feed(b)
 		b = b[n:]
@@ -160,9 +134,6 @@
 			x.reject(&http1.Error{Status: 503, Reason: "too much in hand"})
 			return
 		}
-		if x.slow == nil {
-			x.slow = x.s.Engine.After(slowest, x.tooSlow)
-		}
 		if x.parser.HeadDone() && !x.continued && strings.EqualFold(x.parser.Msg.Get("expect"), "100-continue") {
 			x.continued = true
 			x.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"), nil)
@@ -170,7 +141,7 @@
 	}
 	switch {
 	case x.over || len(b) == 0:
-	case len(x.ahead)+len(b) > maxAhead:
+	case len(x.ahead)+len(b) > maxAhead || !x.hold(len(x.parser.Msg.Body)+len(x.ahead)+len(b)):
 		x.keepAlive = false // nothing that is in hand may be lost: the answer comes, then the connection ends
 	default:
 		x.ahead = append(x.ahead, b...)
@@ -192,33 +163,100 @@
 	return len(b) <= longestMethod
 }
 
-// tooSlow ends a connection on which no whole request came in time: neither silence nor half a request may hold a
-// descriptor for good.
+// arm sets the timer for the next look at the peer, unless one comes soon enough: a look that has nothing to say costs
+// less than a timer for each request.
+func (x *client) arm() {
+	now := x.s.Engine.Now()
+	due := x.peer.Next(now)
+	if due == pace.Never || x.look != nil && x.lookAt <= due {
+		return
+	}
+	x.look.Stop()
+	x.lookAt = due
+	x.look = x.s.Engine.After(time.Duration(due-now)*time.Microsecond, x.looked)
+}
+
+// looked takes a look at the peer. Neither silence nor half a request, nor an answer that nobody takes, may hold what
+// others need for good.
+func (x *client) looked() {
+	x.look = nil
+	now := x.s.Engine.Now()
+	if late := now - x.lookAt; late > stall {
+		x.peer.Extend(late) // what came meanwhile has not been seen yet
+	}
+	x.taken(now)
+	if p := x.peer.Check(now); p != nil {
+		p.Struck(now)
+		p.Owner.(*client).tooSlow()
+	}
+	if !x.over {
+		x.arm()
+	}
+}
+
+// taken tells the peer's account what it has taken of an answer.
+func (x *client) taken(now decide.Time) {
+	if phase := x.peer.Phase(); phase != pace.Sending && phase != pace.Draining {
+		return
+	}
+	left := x.conn.Untaken()
+	x.peer.Taken(now, max(0, x.untaken-left))
+	x.untaken = left
+	x.peer.HoldOut(x.conn.Queued())
+	if left == 0 && x.peer.Phase() == pace.Draining {
+		x.peer.Rest(now)
+	}
+}
+
+// tooSlow ends a connection whose peer was too slow for too long.
 func (x *client) tooSlow() {
-	switch {
-	case x.over || x.busy:
-	case x.parser.Idle():
-		x.end()
-		x.conn.Close()
-	default:
-		x.keepAlive = false
+	phase := x.peer.Phase()
+	warn("slow peer cut", "addr", x.conn.Peer(), "phase", phase, "link", x.peer.Link)
+	if phase == pace.Receiving && !x.parser.Idle() {
+		x.keepAlive, x.busy = false, true
 		x.refuseInput(408, "request did not come in whole")
+		return
+	}
+	x.close()
+}
+
+// letGo ends a connection as room runs short. A request that is not whole is refused, if the system takes the words.
+func (x *client) letGo() {
+	if x.peer.Phase() == pace.Receiving && !x.parser.Idle() {
+		warn("slow peer let go: room is short", "addr", x.conn.Peer(), "link", x.peer.Link)
+		x.conn.Write(http1.AppendResponse(nil, 503, false, []byte("no room\n"), http1.Field{Name: "Retry-After", Value: "1"}), nil)
 	}
+	x.close()
 }
 
-// hold books what the connection has in memory, and reports whether the server still bears it.
+func (x *client) close() {
+	x.end()
+	x.conn.Close()
+}
+
+// hold books what the connection has in memory of a request, and reports whether the server bears it. Peers that are
+// too slow make room first.
 func (x *client) hold(n int) bool {
-	x.s.held += n - x.held
-	x.held = n
-	return x.s.MaxHeld == 0 || x.s.held <= x.s.MaxHeld
+	if x.peer.HoldIn(n) {
+		return true
+	}
+	x.s.makeSpace(n)
+	return !x.over && x.peer.HoldIn(n)
+}
+
+// makeSpace lets go of slow peers until n more bytes are within the caps, as far as there are such.
+func (s *Server) makeSpace(n int) {
+	for _, p := range s.Pace.Excess(s.Engine.Now(), n) {
+		p.Owner.(*client).letGo()
+	}
 }
 
 // end takes the connection out of the books.
 func (x *client) end() {
 	x.over = true
-	x.hold(0)
-	x.slow.Stop()
-	delete(x.s.idle, x)
+	x.peer.Close()
+	x.look.Stop()
+	x.look = nil
 }
 
 // Closed implements Handler.
@@ -243,6 +281,10 @@
 
 // refuseInput answers a request that does not become one of the engine's.
 func (x *client) refuseInput(status int, why string) {
+	if x.over {
+		return
+	}
+	x.peer.Judge(x.s.Engine.Now())
 	x.s.Engine.Counts.BadRequests++
 	warn("bad request", "status", status, "why", why)
 	x.answer(status, []byte(why+"\n"))
@@ -252,9 +294,6 @@
 func (x *client) take() {
 	m := x.parser.Msg
 	x.busy, x.continued = true, false
-	x.slow.Stop()
-	x.slow = nil
-	delete(x.s.idle, x)
 	x.keepAlive = m.KeepAlive
 	path, _, _ := strings.Cut(m.Target, "?")
 	switch {
@@ -276,6 +315,7 @@
 	}
 	c := &call{method: m.Method, target: m.Target, id: m.Get("x-call-id"), key: m.Get("idempotency-key"), body: m.Body,
 		once: x.s.Engine.Class(j.Class).Effect == decide.Unsafe}
+	x.peer.Judge(x.s.Engine.Now())
 	if x.s.shut {
 		x.Refused(0)
 		return
@@ -284,7 +324,7 @@
 		x.refuseInput(409, "call id is in use")
 		return
 	}
-	x.known = true
+	x.peer.Work(x.s.Engine.Now())
 	r := x.s.Engine.Submit(j, c, x)
 	if x.id != "" { // not answered already
 		x.request = r
@@ -325,6 +365,7 @@
 		x.refuseInput(404, "unknown path")
 		return
 	}
+	x.peer.Judge(x.s.Engine.Now())
 	switch path {
 	case "/-/ready":
 		if x.s.Ready() && !x.s.closing {
@@ -435,24 +476,23 @@
 // Failed implements engine.Client.
 func (x *client) Failed() { x.answer(500, []byte("failed\n")) }
 
-// answer writes the one answer to the request in hand and goes on to the next.
+// answer writes the one answer to the request in hand and goes on to the next. From here on the peer is paced again.
 func (x *client) answer(status int, body []byte, fields ...http1.Field) {
 	if x.over {
 		return
 	}
-	keep := x.keepAlive && !x.s.closing
+	x.keepAlive = x.keepAlive && !x.s.closing
 	x.request, x.busy = nil, true
 	x.s.release(x)
-	x.slow.Stop()
-	x.slow = nil
-	b := http1.AppendResponse(nil, status, keep, body, fields...)
-	if !keep {
-		x.end()
-		x.conn.Write(b, nil)
-		x.conn.CloseAfterWrite()
-		return
-	}
+	b := http1.AppendResponse(nil, status, x.keepAlive, body, fields...)
+	x.peer.Send(x.s.Engine.Now())
+	x.untaken = len(b)
 	x.conn.Write(b, x.answered)
+	if n := x.conn.Queued(); n > 0 {
+		x.peer.HoldOut(n)
+		x.s.makeSpace(0)
+		x.arm()
+	}
 }
 
 // answered goes on to the next request once an answer has gone out.
@@ -461,8 +501,7 @@
 		return
 	}
 	if end != Written { // what the client has got of it can't be told from the next answer
-		x.end()
-		x.conn.Close()
+		x.close()
 		return
 	}
 	if !x.keepAlive { // some of what came ahead was passed over meanwhile
@@ -471,9 +510,11 @@
 		return
 	}
 	x.busy = false
-	x.hold(0)
+	x.peer.HoldOut(0)
+	x.peer.HoldIn(0)
+	x.peer.Sent(x.s.Engine.Now())
+	x.arm()
 	x.parser.Reset()
-	x.s.rest(x)
 	next := x.ahead
 	x.ahead = nil
 	x.Data(next)
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"log/slog"
 	"math"
+	"net/netip"
 	"strconv"
 	"sync"
 	"time"
@@ -24,8 +25,14 @@
 	Write(b []byte, done func(WriteEnd))
 	// CloseAfterWrite closes once what was given to Write has gone out.
 	CloseAfterWrite()
-	// Close closes at once. The handler hears no more.
+	// Close closes at once: the handler hears no more, and what Write was given and the system has not taken is lost.
 	Close()
+	// Queued is how many bytes given to Write wait here, since the system does not take them.
+	Queued() int
+	// Untaken is how many wait here or with the system, as far as the peer is known to have taken them.
+	Untaken() int
+	// Peer is the address of the other side.
+	Peer() netip.Addr
 }
 
 // Handler takes what a connection brings.
@@ -84,14 +91,17 @@
 	return r.Make(values)
 }
 
-// unquoted is the text of a JSON string, or any other JSON value as it stands.
-func unquoted(raw json.RawMessage) []byte {
-	raw = bytes.TrimSpace(raw)
-	var s string
-	if len(raw) > 0 && raw[0] == '"' && json.Unmarshal(raw, &s) == nil {
+// resultOf is the text of a line's result where that is a JSON string, which was read with the line (it may be long);
+// any other JSON value is left as it stands.
+func resultOf(v any, line []byte) []byte {
+	if s, ok := v.(string); ok {
 		return []byte(s)
 	}
-	return raw
+	var in struct {
+		Result json.RawMessage `json:"result"`
+	}
+	_ = json.Unmarshal(line, &in) // it was read before
+	return bytes.TrimSpace(in.Result)
 }
 
 // budget formats a span as X-Budget has it.
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -1,10 +1,11 @@
 package jobs
 
 import (
-	"encoding/json"
+	"cmp"
 	"fmt"
 	"log/slog"
 	"math"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 
 	"weldscale/decide"
 	"weldscale/internal/engine"
+	"weldscale/internal/pace"
 )
 
 // fakeConn keeps what is written. Writes end when the test says so.
@@ -24,6 +26,9 @@
 	done    func(WriteEnd)
 	prompt  bool // writes end at once
 	closed  bool
+	queued  int    // what the system does not take
+	system  int    // what the peer does not take of it
+	from    string // its address
 }
 
 func (c *fakeConn) SetHandler(h Handler) { c.handler = h }
@@ -35,6 +40,9 @@
 	}
 }
 func (c *fakeConn) Close()           { c.closed = true }
+func (c *fakeConn) Queued() int      { return c.queued }
+func (c *fakeConn) Untaken() int     { return c.queued + c.system }
+func (c *fakeConn) Peer() netip.Addr { return netip.MustParseAddr(cmp.Or(c.from, "127.0.0.1")) }
 func (c *fakeConn) CloseAfterWrite() { c.closed = true }
 
 // fakeDialer hands out one connection, or none.
@@ -351,32 +359,45 @@
 	asked.handler.Data([]byte("GET /-/ready HTTP/1.1\r\n\r\n"))
 	works.handler.Data([]byte(head + "X-Budget: 8000m\r\n\r\n"))
 	b.pushed[0].End(decide.Served, []byte("x"), decide.Report{})
-	for _, c := range []*fakeConn{silent, asked} {
-		c.handler.(*client).came -= int64(time.Minute / time.Microsecond)
-	}
 	closed := func() (out []bool) {
 		for _, c := range []*fakeConn{silent, asked, works, young} {
 			out = append(out, c.closed)
 		}
 		return out
 	}
-	assert.Equal(t, 2, b.server.CloseIdle(9, true))
-	assert.Equal(t, []bool{true, true, false, false}, closed())
-	assert.Equal(t, 1, b.server.CloseIdle(1, false))
-	assert.Equal(t, []bool{true, true, true, false}, closed())
+	l := pace.Defaults(1 << 20)
+	l.Fresh = 1 << 40
+	b.server.Pace.SetLimits(l)
+	assert.Zero(t, b.server.MakeRoom(9, true))
+	assert.Equal(t, 1, b.server.MakeRoom(1, false))
+	assert.Equal(t, []bool{false, false, true, false}, closed())
+	l.Fresh = 0
+	b.server.Pace.SetLimits(l)
+	assert.Equal(t, 3, b.server.MakeRoom(9, true))
+	assert.Equal(t, []bool{true, true, true, true}, closed())
+}
+
+// hurried gives the clients that come from now on no time at all.
+func (b *bench) hurried() {
+	l := pace.Defaults(1 << 20)
+	l.In = pace.Rate{Least: 1, Ceiling: 1}
+	l.Out = l.In
+	b.server.Pace.SetLimits(l)
+	b.workers.Pace = l.In
 }
 
 // A client is owed an answer or a close soon after it connects, whole request or not; between requests it is not
-// hurried.
+// hurried, nor while its job is in hand.
 func TestSlowClients(t *testing.T) {
 	b := newBench(t)
+	b.hurried()
 	silent, half, works := b.client(), b.client(), b.client()
 	half.handler.Data([]byte("POST /api HTTP/1.1\r\nX-Ca"))
 	works.handler.Data([]byte(head + "X-Budget: 8000m\r\n\r\n"))
+	x := works.handler.(*client)
 	for _, c := range []*fakeConn{silent, half, works} {
-		x := c.handler.(*client)
-		assert.Equal(t, c != works, x.slow != nil)
-		x.tooSlow() // as the timer would, had it not been stopped
+		time.Sleep(time.Millisecond)
+		c.handler.(*client).looked() // as the timer would
 	}
 	assert.True(t, silent.closed)
 	assert.Empty(t, silent.out)
@@ -384,9 +405,103 @@
 	assert.Contains(t, half.out, "HTTP/1.1 408 ")
 	assert.False(t, works.closed)
 	b.pushed[0].End(decide.Served, []byte("x"), decide.Report{})
+	x.looked()
 	assert.False(t, works.closed)
-	assert.Nil(t, works.handler.(*client).slow, "between requests no time runs")
-	assert.Less(t, slowest, 3*time.Second)
+	assert.Equal(t, pace.Never, x.peer.Next(b.e.Now()), "between requests no time runs")
+	assert.Nil(t, x.look)
+	assert.Equal(t, 1, b.server.Pace.Counts().Peers)
+}
+
+// A peer that takes nothing of its answer is let go; the answer was given, whatever became of it.
+func TestSlowReaders(t *testing.T) {
+	for name, c := range map[string]struct {
+		queued, system int
+		closed         bool
+	}{"took all": {0, 0, false}, "the system has it": {0, 9, true}, "some waits here": {9, 9, true}} {
+		b := newBench(t)
+		b.hurried()
+		conn := b.client()
+		conn.handler.Data([]byte(head + "X-Budget: 8000m\r\n\r\n"))
+		x := conn.handler.(*client)
+		conn.queued, conn.system, conn.prompt = c.queued, c.system, c.queued == 0
+		b.pushed[0].End(decide.Served, []byte("x"), decide.Report{})
+		assert.GreaterOrEqual(t, b.server.Pace.Counts().Bytes, c.queued, name)
+		time.Sleep(time.Millisecond)
+		x.looked()
+		assert.Equal(t, c.closed, conn.closed, name)
+		assert.Equal(t, 1, b.e.Counts.Served, name)
+		assert.Len(t, b.pushed, 1, "%s: no second try", name)
+		if c.closed {
+			assert.Equal(t, 1, b.server.Pace.Counts().CutOut, name)
+			assert.Zero(t, b.server.Pace.Counts().Bytes, name)
+		}
+	}
+}
+
+// A request may become whole in the moment in which its sender is cut: it is a job with one answer, or none at all.
+func TestWholeAsItIsCut(t *testing.T) {
+	for _, first := range []string{"cut", "whole"} {
+		b := newBench(t)
+		b.hurried()
+		conn := b.client()
+		text := head + "X-Budget: 8000m\r\n\r\n"
+		conn.handler.Data([]byte(text[:20]))
+		x := conn.handler.(*client)
+		time.Sleep(time.Millisecond)
+		if first == "whole" {
+			conn.handler.Data([]byte(text[20:]))
+			x.looked()
+			require.Len(t, b.pushed, 1)
+			b.pushed[0].End(decide.Served, []byte("x"), decide.Report{})
+			assert.Equal(t, 1, strings.Count(conn.out, "HTTP/1.1"))
+			assert.Contains(t, conn.out, "HTTP/1.1 200 ")
+			continue
+		}
+		x.looked()
+		conn.handler.Data([]byte(text[20:]))
+		assert.Empty(t, b.pushed)
+		assert.Equal(t, 1, strings.Count(conn.out, "HTTP/1.1"))
+		assert.Contains(t, conn.out, "HTTP/1.1 408 ")
+		assert.True(t, conn.closed)
+	}
+}
+
+// A worker that takes its request too slowly has not run it; one that dribbles a line of its answer may have.
+func TestSlowWorkers(t *testing.T) {
+	for name, c := range map[string]struct {
+		taken bool
+		in    string
+		ended bool
+		want  decide.Status
+	}{
+		"takes nothing":         {false, "", true, decide.ConnectFailed},
+		"is at work":            {true, "", false, 0},
+		"is at work, started":   {true, `{"id":"9b","state":"started"}` + "\n", false, 0},
+		"dribbles its line":     {true, `{"id":"9b","sta`, true, decide.Reset},
+		"ends the line at last": {true, `{"id":"9b","state":"done","result":"x"}` + "\n", true, decide.Served},
+	} {
+		b := newBench(t)
+		b.hurried()
+		b.client().handler.Data([]byte(head + "X-Budget: 8000m\r\n\r\n"))
+		conn := b.dialer.conn
+		if !c.taken {
+			conn.queued = 9
+		}
+		b.workers.Push(b.pushed[0])
+		x := b.pushed[0].State.(*exchange)
+		if c.taken {
+			conn.done(Written)
+			conn.handler.Data([]byte("HTTP/1.1 200 OK\r\n\r\n" + c.in))
+		}
+		time.Sleep(time.Millisecond)
+		if x.look != nil {
+			x.looked()
+		}
+		assert.Equal(t, c.ended, x.over || x.lastLine, name)
+		if c.ended {
+			assert.Equal(t, 1, b.e.Counts.Outcomes[c.want], "%s: %s", name, &b.e.Counts)
+		}
+	}
 }
 
 // A second job under the id of another would end in its answer, or run its work twice.
@@ -434,7 +549,9 @@
 // Bodies together have a limit, whatever each may have: many large ones at once would fill a small memory.
 func TestBodiesTogetherHaveALimit(t *testing.T) {
 	b := newBench(t)
-	b.server.MaxHeld = 100 << 10
+	l := pace.Defaults(100 << 10)
+	l.PrefixBytes, l.PeerBytes = l.TotalBytes, l.TotalBytes
+	b.server.Pace.SetLimits(l)
 	half, large := b.client(), b.client()
 	half.handler.Data([]byte(head + "X-Budget: 8000m\r\nContent-Length: 65536\r\n\r\n" + strings.Repeat("x", 60<<10)))
 	large.handler.Data([]byte(strings.Replace(head, "9b", "9c", 1) + "X-Budget: 8000m\r\nContent-Length: 65536\r\n\r\n" + strings.Repeat("x", 50<<10)))
@@ -443,7 +560,7 @@
 	half.handler.Data([]byte(strings.Repeat("x", 4<<10)))
 	require.Len(t, b.pushed, 1)
 	b.pushed[0].End(decide.Served, []byte("x"), decide.Report{})
-	assert.Zero(t, b.server.held)
+	assert.Zero(t, b.server.Pace.Counts().Bytes)
 }
 
 // Requests sent ahead wait for their turn and are answered in order.
@@ -461,7 +578,10 @@
 	b := newBench(t)
 	conns := []*fakeConn{b.client(), b.client(), b.client(), b.client()}
 	conns[0].handler.Data([]byte("GET /-/ready HTTP/1.1\r\n\r\n")) // just answered
-	assert.Equal(t, 2, b.server.CloseIdle(2, false))
+	l := pace.Defaults(1 << 20)
+	l.Fresh = 0
+	b.server.Pace.SetLimits(l)
+	assert.Equal(t, 2, b.server.MakeRoom(2, false))
 	for i, want := range []bool{false, true, true, false} {
 		assert.Equal(t, want, conns[i].closed, i)
 	}
@@ -474,7 +594,7 @@
 	busy.handler.Data([]byte(head + "X-Budget: 8000m\r\n\r\n"))
 	half.handler.Data([]byte("POST /a HT"))
 	b.server.Closing()
-	assert.Equal(t, 1, b.server.CloseIdle(10, false))
+	b.server.CloseIdle()
 	assert.True(t, idle.closed)
 	assert.False(t, busy.closed || half.closed, "one holds a request, on the other one is coming in")
 	b.pushed[0].End(decide.Served, []byte("x"), decide.Report{})
@@ -568,6 +688,6 @@
 			assert.Equal(t, want, got, text)
 		}
 	}
-	assert.Equal(t, "x", string(unquoted(json.RawMessage(`"x"`))))
-	assert.Equal(t, `{"a":1}`, string(unquoted(json.RawMessage(`{"a":1}`))))
+	assert.Equal(t, "x", string(resultOf("x", nil)))
+	assert.Equal(t, `{"a":1}`, string(resultOf(map[string]any{}, []byte(`{"result": {"a":1} }`))))
 }
--- a/internal/jobs/worker.go
+++ b/internal/jobs/worker.go
@@ -9,6 +9,7 @@
 	"weldscale/decide"
 	"weldscale/internal/engine"
 	"weldscale/internal/http1"
+	"weldscale/internal/pace"
 )
 
 // This file owns the workers' side: attempts and probes, and which outcome what comes back stands for. When
@@ -27,6 +28,9 @@
 	Dialer  Dialer
 	Reports *Reports
 	Host    string // of the Host header
+	// Pace is how slowly a worker may take a request or write a line of its answer. Between two lines it is at work,
+	// and nothing is asked of it.
+	Pace pace.Rate
 }
 
 // exchange is one request and its response on one connection to a worker.
@@ -44,6 +48,10 @@
 	attempt  *engine.Attempt
 	probe    *engine.Probe
 	timer    *engine.Timer
+	meter    pace.Meter // of the request on its way out, then of a line that is not whole
+	look     *engine.Timer
+	lookAt   decide.Time
+	untaken  int // bytes of the request, as last seen
 	line     []byte
 	result   []byte
 	status   decide.Status
@@ -104,6 +112,7 @@
 		x.conn = nil
 	}
 	x.written, x.early = false, false
+	x.meter.Stop()
 	x.connect()
 	return true
 }
@@ -146,6 +155,46 @@
 	x.conn = c
 	c.SetHandler(x)
 	c.Write(b, func(end WriteEnd) { x.wrote(c, end) })
+	if x.conn == c && c.Queued() > 0 {
+		x.untaken = len(b)
+		x.meter.Begin(x.w.Engine.Now(), x.w.Pace)
+		x.arm()
+	}
+}
+
+// arm sets the timer for the next look at how fast the worker is.
+func (x *exchange) arm() {
+	now := x.w.Engine.Now()
+	if due := x.meter.End(); due != pace.Never && x.look == nil {
+		x.lookAt = due
+		x.look = x.w.Engine.After(time.Duration(due-now)*time.Microsecond, x.looked)
+	}
+}
+
+// looked ends an exchange whose worker is too slow. While a part of the request waits here its last byte has surely not
+// left; later the job may have run.
+func (x *exchange) looked() {
+	x.look = nil
+	now := x.w.Engine.Now()
+	if late := now - x.lookAt; late > stall {
+		x.meter.Extend(late)
+	}
+	if !x.written {
+		left := x.conn.Untaken()
+		x.meter.Add(now, max(0, x.untaken-left))
+		x.untaken = left
+	}
+	if x.meter.State(now) != pace.Cut {
+		x.arm()
+		return
+	}
+	x.w.Engine.Counts.SlowWorkers++
+	warn("slow worker cut off", "worker", x.worker.Name, "request_sent", x.written)
+	if x.written {
+		x.end(decide.Reset)
+	} else {
+		x.end(decide.ConnectFailed)
+	}
 }
 
 // wrote takes in how the write on a connection ended.
@@ -160,6 +209,7 @@
 		x.end(decide.Reset)
 	default:
 		x.written = true
+		x.meter.Stop()
 	}
 }
 
@@ -212,14 +262,32 @@
 	for !x.lastLine && !x.over {
 		i := bytes.IndexByte(x.line, '\n')
 		if i < 0 {
+			x.pace(len(b))
 			return
 		}
 		line := x.line[:i]
 		x.line = x.line[i+1:]
+		x.meter.Stop()
 		x.news(line)
 	}
 }
 
+// pace measures a line that is not whole, of which n bytes have just come.
+func (x *exchange) pace(n int) {
+	switch {
+	case !x.written:
+	case len(x.line) == 0:
+		x.meter.Stop()
+	default:
+		now := x.w.Engine.Now()
+		if !x.meter.Running() {
+			x.meter.Begin(now, x.w.Pace)
+		}
+		x.meter.Add(now, n)
+		x.arm()
+	}
+}
+
 // news reads one line about a job.
 func (x *exchange) news(line []byte) {
 	if len(bytes.TrimSpace(line)) == 0 {
@@ -229,7 +297,7 @@
 		ID     string          `json:"id"`
 		State  string          `json:"state"`
 		Share  float64         `json:"share"`
-		Result json.RawMessage `json:"result"`
+		Result any             `json:"result"`
 		Load   json.RawMessage `json:"load"`
 	}
 	if err := json.Unmarshal(line, &in); err != nil || in.ID != "" && in.ID != x.attempt.Request.Payload.(*call).id {
@@ -245,7 +313,7 @@
 		x.attempt.Progress(in.Share)
 		return
 	case "done":
-		x.status, x.result = decide.Served, unquoted(in.Result)
+		x.status, x.result = decide.Served, resultOf(in.Result, line)
 	case "failed":
 		x.status = decide.Error
 	case "returned":
@@ -318,6 +386,8 @@
 func (x *exchange) drop() {
 	x.over = true
 	x.timer.Stop()
+	x.look.Stop()
+	x.meter.Stop()
 	if x.giveUp != nil {
 		x.giveUp()
 		x.giveUp = nil
--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -1,15 +1,16 @@
 // Package net is the driver between sockets and the state machines that are fed their bytes, on
 // cloudwego/netpoll. It owns the listener, dialling, the pool of connections to workers and the budget of
 // descriptors. It must never read meaning into the bytes, never send a byte twice, and never make the loop
-// wait: what can block (a dial, a write that the peer does not take) runs on a goroutine of its own and
-// comes back to the loop by Post.
+// wait: what can block (a dial) runs on a goroutine of its own and comes back to the loop by Post. Writes go to the
+// system from the loop as far as it takes them; what it does not take waits, and one goroutine for all tells when
+// there is room again (write.go).
 package net
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"maps"
+	"net/netip"
 	"os"
 	"slices"
 	"sync"
@@ -18,22 +19,23 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 
 	"weldscale/internal/engine"
 	"weldscale/internal/jobs"
 )
 
 const (
-	reserved     = 32              // descriptors kept for the poller, the listener and the log
-	margin       = 64              // below the budget, where shedding idle connections starts
-	writeTimeout = 5 * time.Second // for a peer that takes no bytes
-	linger       = time.Second     // for a peer to take our last answer before the close
-	idlePerHost  = 8
-	bufferSize   = 4 << 10  // of a connection's reads at first
-	receive      = 64 << 10 // what the system may hold of a client's bytes unread
-	maxUnread    = 2 << 20  // what netpoll may: it reads on while the loop is busy, but from clients
-	maxIgnored   = 1 << 20  // of what a client sends after its last answer
-	maxHosts     = 256      // before those without a connection at rest are forgotten
+	reserved    = 32          // descriptors kept for the poller, the listener and the log
+	margin      = 64          // below the budget, where shedding idle connections starts
+	linger      = time.Second // for a peer to take our last answer before the close
+	idlePerHost = 8
+	bufferSize  = 4 << 10  // of a connection's reads at first
+	receive     = 64 << 10 // what the system may hold of a client's bytes unread
+	transmit    = 64 << 10 // what it may hold of an answer that the client does not take; it doubles the figure
+	maxUnread   = 2 << 20  // what netpoll may: it reads on while the loop is busy, but from clients
+	maxIgnored  = 1 << 20  // of what a client sends after its last answer
+	maxHosts    = 256      // before those without a connection at rest are forgotten
 )
 
 // Config says within which bounds a Driver works.
@@ -45,13 +47,15 @@
 
 // Driver owns the sockets of a scheduler. Its methods are for code on the loop.
 type Driver struct {
-	loop  *engine.Loop
-	c     Config
-	hosts map[string]*host
-	idle  []*Conn // idle connections to workers, the longest idle first
-	open  atomic.Int64
-	room  atomic.Int64 // descriptors for connections
-	ln    netpoll.Listener
+	loop   *engine.Loop
+	c      Config
+	hosts  map[string]*host
+	idle   []*Conn // idle connections to workers, the longest idle first
+	open   atomic.Int64
+	room   atomic.Int64 // descriptors for connections
+	ln     netpoll.Listener
+	watch  *watch // of descriptors that take no more just now
+	unsent int    // connections with bytes that the system has not taken
 
 	// Accepted takes over a client's connection.
 	Accepted func(jobs.Conn)
@@ -81,7 +85,7 @@
 	configure.Do(func() {
 		_ = netpoll.Configure(netpoll.Config{PollerNum: 1, BufferSize: bufferSize, Runner: run, LoggerOutput: os.Stderr})
 	})
-	d := &Driver{loop: loop, c: c, hosts: map[string]*host{}}
+	d := &Driver{loop: loop, c: c, hosts: map[string]*host{}, watch: newWatch(loop)}
 	d.SetDescriptors(c.Descriptors)
 	return d
 }
@@ -124,80 +128,33 @@
 	ended   bool          // as the loop knows it
 	ignored int           // bytes that came while deaf
 
-	mu         sync.Mutex
-	out        []chunk
-	writing    bool
+	out        []chunk // what the system has not taken yet
+	queued     int     // bytes of it
+	watched    uint64  // the number that the watch knows it by; 0: it does not
 	closeAfter bool
-	released   bool // the descriptor may be another's by now
-}
 
-type chunk struct {
-	b    []byte
-	done func(jobs.WriteEnd)
+	mu       sync.Mutex
+	released bool // the descriptor may be another's by now
 }
 
 // SetHandler implements jobs.Conn.
 func (c *Conn) SetHandler(h jobs.Handler) { c.handler = h }
 
-// Write implements jobs.Conn.
-func (c *Conn) Write(b []byte, done func(jobs.WriteEnd)) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.out = append(c.out, chunk{b, done})
-	if !c.writing {
-		c.writing = true
-		go c.flush()
-	}
-}
-
-// flush writes what is queued; netpoll makes its caller wait while the peer takes nothing.
-func (c *Conn) flush() {
-	for {
-		c.mu.Lock()
-		if len(c.out) == 0 {
-			c.out, c.writing = nil, false
-			last := c.closeAfter
-			c.mu.Unlock()
-			if last {
-				c.d.loop.Post(c.finish)
-			}
-			return
-		}
-		next := c.out[0]
-		c.out = c.out[1:]
-		c.mu.Unlock()
-		end := c.send(next.b)
-		if next.done != nil {
-			c.d.loop.Post(func() { next.done(end) })
-		}
-	}
-}
-
-// send writes the bytes and tells whether the last of them can have left.
-func (c *Conn) send(b []byte) jobs.WriteEnd {
-	if !c.nc.IsActive() {
-		return jobs.NotWholly
-	}
-	_, err := c.nc.Write(b)
-	switch {
-	case err == nil:
-		return jobs.Written
-	case errors.Is(err, syscall.EPIPE), errors.Is(err, syscall.ECONNRESET):
-		return jobs.NotWholly // the system took none of it
-	default:
-		return jobs.Unsure
+// Peer implements jobs.Conn.
+func (c *Conn) Peer() netip.Addr {
+	a, err := netip.ParseAddrPort(c.nc.RemoteAddr().String())
+	if err != nil {
+		return netip.Addr{}
 	}
+	return a.Addr().Unmap()
 }
 
 // CloseAfterWrite implements jobs.Conn.
 func (c *Conn) CloseAfterWrite() {
 	c.handler = discard{}
 	c.deaf.Store(true)
-	c.mu.Lock()
 	c.closeAfter = true
-	busy := c.writing
-	c.mu.Unlock()
-	if !busy {
+	if len(c.out) == 0 {
 		c.finish()
 	}
 }
@@ -208,11 +165,7 @@
 	if c.ended {
 		return
 	}
-	c.mu.Lock()
-	if fd, ok := c.nc.(netpoll.Conn); ok && !c.released {
-		_ = syscall.Shutdown(fd.Fd(), syscall.SHUT_WR)
-	}
-	c.mu.Unlock()
+	_ = c.system(func(fd int) error { return unix.Shutdown(fd, unix.SHUT_WR) })
 	c.d.loop.After(linger, c.Close)
 }
 
@@ -234,6 +187,7 @@
 // end takes a connection out of the books.
 func (c *Conn) end() {
 	c.ended = true
+	c.forgetOut()
 	c.d.forgetIdle(c)
 }
 
@@ -252,6 +206,7 @@
 				return
 			}
 			c.d.loop.Post(func() {
+				c.failOut() // what that leads to may close it in turn
 				if !c.ended {
 					c.end()
 					c.handler.Closed()
@@ -259,7 +214,6 @@
 			})
 		})
 	}
-	_ = c.nc.SetWriteTimeout(writeTimeout)
 	_ = c.nc.AddCloseCallback(func(netpoll.Connection) error { gone(); return nil })
 	_ = c.nc.SetOnRequest(func(_ context.Context, nc netpoll.Connection) error {
 		c.read(nc)
@@ -310,17 +264,22 @@
 	if err := syscall.SetsockoptInt(ln.Fd(), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receive); err != nil {
 		return err
 	}
+	if err := syscall.SetsockoptInt(ln.Fd(), syscall.SOL_SOCKET, syscall.SO_SNDBUF, transmit); err != nil {
+		return err
+	}
 	loop, err := netpoll.NewEventLoop(
 		func(ctx context.Context, nc netpoll.Connection) error { return nil },
 		netpoll.WithOnPrepare(func(nc netpoll.Connection) context.Context {
-			if d.open.Add(1) > d.room.Load() {
+			if d.open.Add(1) > d.room.Load()-margin {
+				d.loop.Do(d.makeRoom) // the rest of a burst waits with the system meanwhile
+			}
+			if d.open.Load() > d.room.Load() {
 				d.open.Add(-1)
 				_ = nc.Close()
 				return nil
 			}
 			c := &Conn{d: d, nc: nc, handler: discard{}, leaving: make(chan struct{})}
 			d.loop.Post(func() {
-				d.makeRoom()
 				if !c.ended {
 					d.Accepted(c)
 				}
@@ -427,10 +386,7 @@
 func (d *Driver) Put(addr string, in jobs.Conn) {
 	c := in.(*Conn)
 	h := d.host(addr)
-	c.mu.Lock()
-	busy := c.writing
-	c.mu.Unlock()
-	if c.ended || busy || !c.nc.IsActive() {
+	if c.ended || len(c.out) > 0 || !c.nc.IsActive() {
 		c.Close()
 		return
 	}
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -1,7 +1,10 @@
 package net
 
 import (
+	"bytes"
+	"io"
 	stdnet "net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -257,3 +260,50 @@
 		return err != nil
 	}, patience, time.Millisecond)
 }
+
+// A client that takes nothing of its answer holds no goroutine and no other's bytes; what it then takes comes whole
+// and in order, and what it never takes has surely not left.
+func TestSlowReaderHoldsNobodyUp(t *testing.T) {
+	const readers, size = 40, 1 << 20
+	g := newRig(t, Config{Descriptors: 1024, IdleLimit: time.Hour})
+	accepted := make(chan jobs.Conn, readers+1)
+	g.d.Accepted = func(c jobs.Conn) { c.SetHandler(g); accepted <- c }
+	g.do(func() { require.NoError(t, g.d.Listen("127.0.0.1:0")) })
+	answer := bytes.Repeat([]byte("0123456789abcdef"), size/16)
+	type end struct {
+		i   int
+		how jobs.WriteEnd
+	}
+	ends := make(chan end, readers+1)
+	var clients []stdnet.Conn
+	before := 0
+	for i := range readers + 1 {
+		c, err := stdnet.Dial("tcp", g.d.Addr())
+		require.NoError(t, err)
+		defer c.Close()
+		clients = append(clients, c)
+		conn := <-accepted
+		if i == 0 {
+			g.do(func() { conn.Write(answer[:1], nil) })
+		}
+		g.do(func() {
+			conn.Write(answer, func(how jobs.WriteEnd) { ends <- end{i, how} })
+			assert.Positive(t, conn.Queued(), "more than the system takes")
+			assert.Greater(t, conn.Untaken(), conn.Queued(), "the system holds some")
+		})
+		if i == 0 {
+			before = runtime.NumGoroutine() // the one that watches runs now
+		}
+	}
+	assert.Less(t, runtime.NumGoroutine(), before+readers/2, "goroutines grow with the readers")
+	g.do(func() { assert.Equal(t, readers+1, g.d.Unsent()) })
+
+	got, err := io.ReadAll(io.LimitReader(clients[1], size))
+	require.NoError(t, err)
+	assert.True(t, bytes.Equal(answer, got))
+	assert.Equal(t, end{1, jobs.Written}, <-ends)
+	clients[2].Close()
+	assert.Equal(t, end{2, jobs.NotWholly}, <-ends)
+	<-g.dead
+	g.do(func() { assert.Equal(t, readers-1, g.d.Unsent()) })
+}
