Several services in one process: routes, pools, limits and membership of their own

Change: internal/route, an immutable table by host, path, class and fields, faults found as the file is read, 421 or 404 where nothing matches; internal/pool, limits, retry budget, reserves and parts of the loop's time; internal/member, workers from the file itself or a watched one; an engine for each service, all on the one loop; reload under load, built whole first. No more than four probes are out to a worker, further ones wait for the last one's answer. HTTP/1.1 without Host gets 400 (RFC 9112, 3.2).

--- a/cmd/weldscale/main.go
+++ b/cmd/weldscale/main.go
@@ -22,6 +22,7 @@
 	"weldscale/internal/jobs"
 	"weldscale/internal/net"
 	"weldscale/internal/pace"
+	"weldscale/internal/pool"
 )
 
 const (
@@ -95,14 +96,14 @@
 				if got == syscall.SIGUSR1 {
 					slog.Info("counters", "counts", s.server.Stats())
 				} else {
-					slog.Info("stopping", "signal", got.String(), "open", s.e.Open())
+					slog.Info("stopping", "signal", got.String(), "open", s.inHand())
 					s.stop()
 				}
 			})
 		}
 	}()
 	s.loop.Run()
-	slog.Info("stopped", "open", s.e.Open(), "counts", s.server.Stats())
+	slog.Info("stopped", "open", s.inHand(), "counts", s.server.Stats())
 	return nil
 }
 
@@ -117,8 +118,12 @@
 	server    *jobs.Server
 	workers   *jobs.Workers
 	discovery *jobs.Discovery
-	stopping  time.Time // when the stop began
-	closed    bool      // the door is
+	services  map[string]*service // that the operator's file names
+	leaving   []*service          // that it named before and that have requests in hand
+	open      *pool.Budget        // of requests in hand
+	clock     *pool.Clock         // of the loop's time
+	stopping  time.Time           // when the stop began
+	closed    bool                // the door is
 }
 
 // start wires the parts and listens. Nothing is served before the loop runs.
@@ -129,11 +134,8 @@
 		return nil, err
 	}
 	driver := net.New(loop, net.Config{Descriptors: c.Limits.Sockets, ConnectTimeout: c.connectTimeout, IdleLimit: c.idleLimit})
-	server := jobs.NewServer(e, c.classes)
+	server := jobs.NewServer(jobs.NewService("", e, c.classes))
 	server.Pace = pace.New(c.file.SlowPeers)
-	server.Stats = func() string {
-		return fmt.Sprintf("%s %s goroutines=%d", &e.Counts, server.Pace.Counts(), runtime.NumGoroutine())
-	}
 	driver.Accepted = server.Serve
 	driver.ShedIdle = server.MakeRoom
 	driver.Counted = func(dials, failed, shed int) {
@@ -147,7 +149,14 @@
 	if err := discovery.Known(c.Known); err != nil {
 		return nil, err
 	}
-	return &scheduler{c: c, loop: loop, e: e, driver: driver, server: server, workers: workers, discovery: discovery}, driver.Listen(c.Listen)
+	s := &scheduler{c: c, loop: loop, e: e, driver: driver, server: server, workers: workers, discovery: discovery, clock: &pool.Clock{}}
+	server.Stats = func() string {
+		return fmt.Sprintf("%s %s goroutines=%d%s", &e.Counts, server.Pace.Counts(), runtime.NumGoroutine(), s.serviceStats())
+	}
+	if err := s.apply(c.file); err != nil {
+		return nil, err
+	}
+	return s, driver.Listen(c.Listen)
 }
 
 // reload puts a new configuration in force, as far as a running scheduler can: where discovery is and the
@@ -158,6 +167,13 @@
 		return
 	}
 	old := s.c
+	limits := old.Limits
+	old.Limits = c.Limits
+	if err := s.apply(c.file); err != nil {
+		old.Limits = limits
+		slog.Error("new configuration not taken", "why", err)
+		return
+	}
 	slog.Info("new configuration", "discovery", c.Discovery, "restart_needed", c.Name != old.Name ||
 		c.Listen != old.Listen || !reflect.DeepEqual(c.engine.Settings, old.engine.Settings))
 	old.Discovery, old.Limits, old.file = c.Discovery, c.Limits, c.file
@@ -184,7 +200,7 @@
 		s.server.Shut()
 		s.server.CloseIdle()
 	}
-	if s.closed && s.e.Open() == 0 && (s.driver.Unsent() == 0 || time.Since(s.stopping) >= unsentFor) {
+	if s.closed && s.inHand() == 0 && (s.driver.Unsent() == 0 || time.Since(s.stopping) >= unsentFor) {
 		// The last answers are with the system; the exit must not overtake their way there.
 		s.loop.After(lastWords, s.loop.Stop)
 		return
--- a/deploy/weldscale.hcl
+++ b/deploy/weldscale.hcl
@@ -5,6 +5,11 @@
 # SIGHUP reads it anew; a file with a fault changes nothing. Rates are bytes a second (4096, "4KiB", "10KB/s"), spans
 # are text with a unit ("2.5s", "300ms"), sizes are bytes ("64KiB"). See docs/SLOW_PEERS.md.
 
+# What all services share.
+shared {
+  # open = 341 # requests in hand of all services together (unless set: a third of the descriptors, here of 1,024)
+}
+
 # Clients that send or read slowly.
 slow_peers {
   least_rate_in  = "4KiB" # a request comes in at this rate at least
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -21,12 +22,17 @@
 	"github.com/zclconf/go-cty/cty"
 
 	"weldscale/internal/pace"
+	"weldscale/internal/route"
 )
 
 // File is what an operator's file says, with the defaults where it says nothing.
 type File struct {
 	SlowPeers pace.Limits // with the links
 	Workers   pace.Rate
+	Open      int // requests in hand of all services together; 0: a third of the descriptors
+	Services  []Service
+	Platform  []route.Rule // of the service that the platform's configuration describes
+	Routes    *route.Table // of all; nil where there is no service block
 }
 
 // Default is what holds without a file, for a scheduler of that much memory.
@@ -38,10 +44,12 @@
 type unit string
 
 const (
-	rate  unit = "rate"  // "4KiB", bytes a second
-	span  unit = "span"  // "2.5s"
-	size  unit = "size"  // "512KiB"
-	count unit = "count" // 64
+	rate  unit = "rate"   // "4KiB", bytes a second
+	span  unit = "span"   // "2.5s"
+	size  unit = "size"   // "512KiB"
+	count unit = "count"  // 64
+	rate0 unit = "number" // 0.5
+	word  unit = "word"   // "safe"
 )
 
 // Setting is one setting of a block.
@@ -61,6 +69,7 @@
 
 // Settings is every setting of the blocks that stand once.
 var Settings = []Setting{
+	{"shared", "open", count, 1, 1 << 20, "requests in hand of all services together; a third of the descriptors unless set", func(f *File) any { return &f.Open }},
 	{"slow_peers", "least_rate_in", rate, 1, gib, "least rate at which a client's request comes in", func(f *File) any { return &f.SlowPeers.In.Least }},
 	{"slow_peers", "least_rate_out", rate, 1, gib, "least rate at which a client takes its answer", func(f *File) any { return &f.SlowPeers.Out.Least }},
 	{"slow_peers", "grace_in", span, 1e5, hour, "how long a request may bring nothing at its start, the first one since the connection", func(f *File) any { return &f.SlowPeers.In.Grace }},
@@ -92,9 +101,12 @@
 
 // layout is the file's blocks, as gohcl reads them.
 type layout struct {
-	SlowPeers *block  `hcl:"slow_peers,block"`
-	Workers   *block  `hcl:"workers,block"`
-	Links     []*link `hcl:"link,block"`
+	Shared    *block          `hcl:"shared,block"`
+	SlowPeers *block          `hcl:"slow_peers,block"`
+	Workers   *block          `hcl:"workers,block"`
+	Links     []*link         `hcl:"link,block"`
+	Platform  *platformBlock  `hcl:"platform,block"`
+	Services  []*serviceBlock `hcl:"service,block"`
 }
 
 type block struct {
@@ -114,61 +126,106 @@
 	if err != nil {
 		return f, err
 	}
-	r := reader{file: &f}
+	r := reader{file: &f, path: path}
 	parsed, diags := hclparse.NewParser().ParseHCL(text, path)
 	r.diags = diags
 	if parsed != nil && !diags.HasErrors() {
 		var l layout
-		r.diags = append(r.diags, gohcl.DecodeBody(parsed.Body, nil, &l)...)
+		schema, _ := gohcl.ImpliedBodySchema(l)
+		r.content, _ = parsed.Body.Content(schema)
+		faults := gohcl.DecodeBody(parsed.Body, nil, &l)
+		r.diags = append(r.diags, faults...)
+		r.block("shared", l.Shared)
 		r.block("slow_peers", l.SlowPeers)
 		r.block("workers", l.Workers)
 		r.links(l.Links)
+		if len(l.Services) > 0 && !faults.HasErrors() { // else not all that they need is there
+			r.services(l.Services, l.Platform)
+		}
 	}
 	return f, r.faults()
 }
 
 // reader gathers what a file says and its faults.
 type reader struct {
-	file  *File
-	diags hcl.Diagnostics
+	path    string
+	file    *File
+	content *hcl.BodyContent
+	diags   hcl.Diagnostics
+}
+
+// faultAt is a fault at a place that was kept as text.
+func (r *reader) faultAt(place, format string, args ...any) {
+	at := hcl.Range{Filename: r.path}
+	parts := strings.Split(place, ":")
+	if n := len(parts); n >= 3 {
+		at.Start.Line, _ = strconv.Atoi(parts[n-2])
+		at.Start.Column, _ = strconv.Atoi(parts[n-1])
+	}
+	r.fault(at, format, args...)
 }
 
 func (r *reader) fault(at hcl.Range, format string, args ...any) {
 	r.diags = append(r.diags, &hcl.Diagnostic{Severity: hcl.DiagError, Summary: fmt.Sprintf(format, args...), Subject: &at})
 }
 
-// block reads the settings of a block.
-func (r *reader) block(name string, b *block) {
-	if b == nil || b.Body == nil {
-		return
+// field is one setting as it is read.
+type field struct {
+	name        string
+	unit        unit
+	least, most float64
+	to          any // *float64, *pace.Time, *int or *string
+}
+
+func assign(to any, v float64) {
+	switch to := to.(type) {
+	case *float64:
+		*to = v
+	case *pace.Time:
+		*to = pace.Time(v)
+	case *int:
+		*to = int(v)
 	}
-	attrs, diags := b.Body.JustAttributes()
+}
+
+// fields reads the settings of a body and reports which are there.
+func (r *reader) fields(body hcl.Body, fields []field) map[string]bool {
+	attrs, diags := body.JustAttributes()
 	r.diags = append(r.diags, diags...)
 	var known []string
 	set := map[string]bool{}
-	for _, s := range Settings {
-		if s.Block != name {
+	for _, f := range fields {
+		known = append(known, f.name)
+		a := attrs[f.name]
+		if a == nil {
 			continue
 		}
-		known = append(known, s.Name)
-		if a := attrs[s.Name]; a != nil {
-			delete(attrs, s.Name)
-			if v, ok := r.figure(a.Expr, s.Unit, s.Least, s.Most); ok {
-				set[s.Name] = true
-				switch at := s.at(r.file).(type) {
-				case *float64:
-					*at = v
-				case *pace.Time:
-					*at = pace.Time(v)
-				case *int:
-					*at = int(v)
-				}
-			}
+		delete(attrs, f.name)
+		if text, ok := f.to.(*string); ok {
+			*text = r.text(a.Expr, "a word")
+		} else if v, ok := r.figure(a.Expr, f.unit, f.least, f.most); ok {
+			assign(f.to, v)
 		}
+		set[f.name] = true
 	}
 	for _, a := range attrs {
 		r.fault(a.NameRange, "%s: no such setting; allowed: %s", a.Name, strings.Join(known, ", "))
 	}
+	return set
+}
+
+// block reads the settings of a block that stands once.
+func (r *reader) block(name string, b *block) {
+	if b == nil || b.Body == nil {
+		return
+	}
+	var fields []field
+	for _, s := range Settings {
+		if s.Block == name {
+			fields = append(fields, field{s.Name, s.Unit, s.Least, s.Most, s.at(r.file)})
+		}
+	}
+	set := r.fields(b.Body, fields)
 	if p := &r.file.SlowPeers; set["total"] && !set["per_prefix"] {
 		p.PrefixBytes = p.TotalBytes / 2
 	}
@@ -178,7 +235,7 @@
 }
 
 var forms = map[unit]string{rate: `bytes a second, such as 4096 or "4KiB"`, span: `a span, such as "2.5s" or "300ms"`,
-	size: `bytes, such as 65536 or "64KiB"`, count: "a whole number"}
+	size: `bytes, such as 65536 or "64KiB"`, count: "a whole number", rate0: "a number"}
 
 // figure reads one figure within its bounds.
 func (r *reader) figure(e hcl.Expression, u unit, least, most float64) (float64, bool) {
@@ -205,11 +262,11 @@
 		return 0, false
 	case v.Type() == cty.Number:
 		f, _ := v.AsBigFloat().Float64()
-		return f, u != span && (u == rate || f == math.Trunc(f))
+		return f, u != span && (u == rate || u == rate0 || f == math.Trunc(f))
 	case v.Type() == cty.String && u == span:
 		d, err := time.ParseDuration(v.AsString())
 		return float64(d / time.Microsecond), err == nil
-	case v.Type() == cty.String && u != count:
+	case v.Type() == cty.String && u != count && u != rate0:
 		text, isRate := strings.CutSuffix(v.AsString(), "/s")
 		n, err := humanize.ParseBytes(text)
 		return float64(n), err == nil && (u == rate || !isRate)
@@ -221,8 +278,8 @@
 	switch u {
 	case span:
 		return (time.Duration(v) * time.Microsecond).String()
-	case count:
-		return fmt.Sprint(int(v))
+	case count, rate0:
+		return strconv.FormatFloat(v, 'f', -1, 64)
 	}
 	return strings.ReplaceAll(humanize.IBytes(uint64(v)), " ", "")
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -9,7 +9,10 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"weldscale/decide"
 	"weldscale/internal/pace"
+	"weldscale/internal/pool"
+	"weldscale/internal/route"
 )
 
 const memory = 64 << 20
@@ -110,3 +113,86 @@
 	_, err = Read(t.TempDir(), memory)
 	assert.ErrorContains(t, err, "is a directory")
 }
+
+const shop = `service "shop" {
+  weight  = 2
+  reserve = 50
+  match { host = "shop.example.org" }
+  match {
+    path   = "/orders"
+    class  = "submit"
+    header = { X-Desk = "murun" }
+  }
+  workers {
+    worker "a" { address = "127.0.0.1:3000" }
+  }
+  limits {
+    rate    = 200.5
+    bytes   = "4MiB"
+    retries = 0.2
+  }
+  class "submit" {
+    effect     = "keyed"
+    key_memory = "12s"
+    aim        = "300ms"
+    open       = 20
+  }
+}
+platform {
+  match { host = "app.svc" }
+}
+`
+
+func TestService(t *testing.T) {
+	f, err := Read(write(t, shop), memory)
+	require.NoError(t, err)
+	require.Len(t, f.Services, 1)
+	s := f.Services[0]
+	assert.Equal(t, Service{Name: "shop", Weight: 2, Reserve: 50, Rules: s.Rules, Workers: []Worker{{"a", "127.0.0.1:3000"}},
+		Limits: pool.Limits{Rate: 200.5, Bytes: 4 << 20, Retries: 0.2}, Classes: []Class{{"submit", decide.Class{Effect: decide.Keyed,
+			Scope: decide.ScopeAll, MemorySpan: 12e6, Kind: -1, Aim: 300e3, Stretch: 2, Deadline: 10e6, Worth: 1}, pool.Limits{Open: 20}}}}, s)
+	for in, want := range map[string]string{"shop.example.org": "shop", "app.svc": ""} {
+		got, miss := f.Routes.Match(route.Request{Host: in, Path: "/"})
+		assert.Equal(t, route.Matched, miss)
+		assert.Equal(t, want, got)
+	}
+	got, _ := f.Routes.Match(route.Request{Host: "x", Path: "/orders/1", Class: "submit", Header: func(name string) string {
+		return map[string]string{"x-desk": "murun"}[name]
+	}})
+	assert.Equal(t, "shop", got)
+	_, err = decide.New(s.Settings(), 1, nil)
+	assert.NoError(t, err)
+	other := s
+	other.Limits.Rate = 1
+	assert.True(t, s.Same(&other))
+	other.File = "x"
+	assert.False(t, s.Same(&other))
+}
+
+// What is wrong in a service, told with its place.
+func TestServiceFaults(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`service "shop"`, `service "Shop"`, `:1:1: service "Shop": allowed is a name`},
+		{"weight  = 2", "weight  = 0", ":2:13: out of range; allowed is 0.001 to 1000000"},
+		{`{ host = "shop.example.org" }`, "{}", `an empty match block would take everything`},
+		{`"shop.example.org"`, `"shop.example.org:80"`, `:4:18: "shop.example.org:80" is no host`},
+		{`"/orders"`, `"orders"`, `:6:14: "orders" is no path`},
+		{`class  = "submit"`, `class  = "other"`, `service "shop" has no class "other"`},
+		{`{ X-Desk = "murun" }`, `"murun"`, ":8:14: allowed is a map of fields"},
+		{`"127.0.0.1:3000"`, `"box1:3000"`, ":11:28: \"box1:3000\": allowed is an address and a port"},
+		{`worker "a" {`, "discovery = \"127.0.0.1:1\"\n worker \"a\" {", `:1:1: service "shop": its workers block must have exactly one`},
+		{"rate    = 200.5", `rate    = "200/s"`, ":14:15: allowed is a number"},
+		{"retries = 0.2", "retires = 0.2", ":16:5: retires: no such setting; allowed: rate, burst, open, bytes, retries, retry_floor"},
+		{`"keyed"`, `"twice"`, "effect must be one of keyed, once, safe"},
+		{`    key_memory = "12s"`, "", "a keyed class needs key_memory"},
+		{"platform {", shop[:len(shop)-len("platform {\n  match { host = \"app.svc\" }\n}\n")] + "platform {", `service "shop" stands twice`},
+		{`"app.svc"`, `"shop.example.org"`, `the same match as that of service "" at`},
+	} {
+		require.Contains(t, shop, c.old)
+		_, err := Read(write(t, strings.Replace(shop, c.old, c.new, 1)), memory)
+		if assert.Error(t, err, c.new) {
+			assert.Contains(t, err.Error(), c.want, c.new)
+			assert.Regexp(t, `^\S+w\.hcl:\d+:\d+: `, err.Error())
+		}
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -60,6 +60,7 @@
 // Request is one request of a client, from its arrival to its final answer.
 type Request struct {
 	ID       uint32
+	Class    int
 	GiveUpAt decide.Time
 	Payload  any // what the client's protocol hands to the workers'
 	client   Client
@@ -92,6 +93,10 @@
 type Engine struct {
 	*Loop
 	Counts Counts
+	// MayRetry, if set, is asked before a second try is sent; where it says no, the try ends unsent.
+	MayRetry func(class int) bool
+	// Used, if set, is told how long the loop was at work for this engine.
+	Used func(span time.Duration)
 
 	d        *decide.Dispatcher
 	classes  []decide.Class
@@ -121,7 +126,9 @@
 func New(loop *Loop, c Config) (*Engine, error) {
 	e := &Engine{Loop: loop, classes: c.Settings.Classes, zones: numbered(c.Zones), kinds: numbered(c.Kinds), byName: map[string]*Worker{},
 		byID: map[decide.WorkerID]*Worker{}, requests: map[uint32]*Request{}}
-	loop.lag = &e.Counts.Lag
+	if loop.lag == nil { // the first engine shows it for all
+		loop.lag = &e.Counts.Lag
+	}
 	var err error
 	e.d, err = decide.New(c.Settings, c.Seed, actions{e})
 	return e, err
@@ -152,7 +159,7 @@
 	for e.lastID++; e.lastID == 0 || e.requests[e.lastID] != nil; e.lastID++ {
 	}
 	j.ID = e.lastID
-	r := &Request{ID: j.ID, GiveUpAt: j.GiveUpAt, Payload: payload, client: c, open: true}
+	r := &Request{ID: j.ID, Class: j.Class, GiveUpAt: j.GiveUpAt, Payload: payload, client: c, open: true}
 	e.requests[r.ID] = r
 	e.open++
 	e.Counts.Taken++
@@ -304,6 +311,10 @@
 		return
 	}
 	e.running = true
+	if e.Used != nil {
+		began := time.Now()
+		defer func() { e.Used(time.Since(began)) }()
+	}
 	f()
 	for len(e.todo) > 0 {
 		next := e.todo[0]
@@ -335,6 +346,10 @@
 			e.workers.Cancel(a)
 			a.End(decide.TimedOut, nil, decide.Report{})
 		})
+		if a.n > 0 && e.MayRetry != nil && !e.MayRetry(r.Class) {
+			a.End(decide.Moot, nil, decide.Report{})
+			return
+		}
 		e.workers.Push(a)
 	})
 }
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -105,7 +105,7 @@
 
 // NewLoop returns a loop that does not run yet.
 func NewLoop() *Loop {
-	return &Loop{queue: make(chan func(), 4096), ended: make(chan struct{}), lag: new(time.Duration), start: time.Now()}
+	return &Loop{queue: make(chan func(), 4096), ended: make(chan struct{}), start: time.Now()}
 }
 
 // Now is the present time in microseconds.
@@ -160,6 +160,7 @@
 	alarm := time.NewTimer(time.Hour)
 	defer alarm.Stop()
 	armed := int64(-1)
+	l.settle() // what was asked for before
 	for !l.quit {
 		if tick, ok := l.wheel.next(); !ok {
 			alarm.Stop()
@@ -173,7 +174,9 @@
 			began := time.Now()
 			f()
 			l.settle()
-			*l.lag = max(*l.lag, time.Since(began))
+			if l.lag != nil {
+				*l.lag = max(*l.lag, time.Since(began))
+			}
 		case <-alarm.C:
 			armed = -1
 		}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -235,7 +235,7 @@
 func (p *Parser) framing(minor byte) error {
 	m := &p.Msg
 	m.KeepAlive = minor >= '1'
-	length, coding := int64(-1), ""
+	length, coding, host := int64(-1), "", false
 	for _, f := range m.Fields {
 		switch f.Name {
 		case "content-length":
@@ -255,6 +255,11 @@
 			if coding == "" {
 				return fault(400, "empty Transfer-Encoding")
 			}
+		case "host":
+			if host {
+				return fault(400, "more than one Host")
+			}
+			host = true
 		case "connection":
 			for word := range strings.SplitSeq(f.Value, ",") {
 				switch strings.ToLower(strings.Trim(word, " \t")) {
@@ -268,6 +273,8 @@
 	}
 	chunked := coding == "chunked"
 	switch {
+	case !p.response && !host && minor >= '1': // RFC 9112, section 3.2
+		return fault(400, "no Host")
 	case coding != "" && (length >= 0 || minor == '0'): // a way to smuggle a request past a front
 		return fault(400, "both a length and a transfer coding")
 	case coding != "" && !chunked:
@@ -387,7 +394,7 @@
 }
 
 var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-	408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
+	408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 421: "Misdirected Request", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
 	500: "Internal Server Error", 501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable",
 	505: "HTTP Version Not Supported"}
 
--- a/internal/jobs/client.go
+++ b/internal/jobs/client.go
@@ -13,6 +13,8 @@
 	"weldscale/internal/engine"
 	"weldscale/internal/http1"
 	"weldscale/internal/pace"
+	"weldscale/internal/pool"
+	"weldscale/internal/route"
 )
 
 // This file owns the clients' side: from bytes to a request of the engine, and from its answer to bytes. It
@@ -31,10 +33,30 @@
 // stall is how late a look at a peer may come before it is our own lateness that is looked at.
 const stall = decide.Time(50 * time.Millisecond / time.Microsecond)
 
-// Server makes requests of what clients send.
-type Server struct {
+// Service is one service: the names of its classes, the engine that runs its jobs, and what it may take.
+type Service struct {
+	Name    string
 	Engine  *engine.Engine
 	Classes map[string]int
+	Pool    *pool.Pool // nil: no limits but the server's
+}
+
+// NewService returns a service without limits of its own; the classes are named in the order of the settings.
+func NewService(name string, e *engine.Engine, classes []string) *Service {
+	v := &Service{Name: name, Engine: e, Classes: map[string]int{}}
+	for i, class := range classes {
+		v.Classes[class] = i
+	}
+	return v
+}
+
+// Server makes requests of what clients send.
+type Server struct {
+	Loop *engine.Loop
+	// Main is the service that the platform's configuration describes.
+	Main *Service
+	// Route finds the service of a request; nil: all are Main's.
+	Route func(route.Request) (*Service, route.Miss)
 	// Ready tells whether the front may send clients here.
 	Ready func() bool
 	// Stats is the text of the counters.
@@ -49,20 +71,17 @@
 	oldest  int                 // of the ring
 }
 
-// NewServer returns a server of the engine's requests; the classes are named in the order of the settings.
-func NewServer(e *engine.Engine, classes []string) *Server {
-	s := &Server{Engine: e, Classes: map[string]int{}, Ready: e.Ready, Stats: e.Counts.String,
+// NewServer returns a server of the main service's requests.
+func NewServer(main *Service) *Server {
+	e := main.Engine
+	return &Server{Loop: e.Loop, Main: main, Ready: e.Ready, Stats: e.Counts.String,
 		Pace: pace.New(pace.Defaults(8 << 20)), ids: map[string]struct{}{}}
-	for i, name := range classes {
-		s.Classes[name] = i
-	}
-	return s
 }
 
 // Serve takes over a new connection of a client.
 func (s *Server) Serve(c Conn) {
 	x := &client{s: s, conn: c, parser: http1.NewRequestParser()}
-	x.peer = s.Pace.Open(s.Engine.Now(), c.Peer(), x)
+	x.peer = s.Pace.Open(s.Loop.Now(), c.Peer(), x)
 	x.arm()
 	c.SetHandler(x)
 }
@@ -76,7 +95,7 @@
 // MakeRoom lets go of up to n connections, those that are worth least first, and returns how many; with strangers only
 // of those that never brought a job or are slower than is acceptable. It never touches one with a job in hand.
 func (s *Server) MakeRoom(n int, strangers bool) int {
-	victims := s.Pace.Victims(s.Engine.Now(), n, strangers)
+	victims := s.Pace.Victims(s.Loop.Now(), n, strangers)
 	for _, p := range victims {
 		p.Owner.(*client).letGo()
 	}
@@ -98,8 +117,11 @@
 	parser    *http1.Parser
 	ahead     []byte
 	request   *engine.Request
-	id        string // of the request in hand, while it is a job
-	busy      bool   // a request is in hand or its answer on the way out
+	service   *Service // of the request in hand, while it is a job
+	class     int      // of it
+	booked    int      // bytes of it in the service's account
+	id        string   // of the request in hand, while it is a job
+	busy      bool     // a request is in hand or its answer on the way out
 	over      bool
 	keepAlive bool
 	continued bool
@@ -112,7 +134,7 @@
 // Data implements Handler.
 func (x *client) Data(b []byte) {
 	if len(b) > 0 && !x.busy && !x.over {
-		x.peer.Received(x.s.Engine.Now(), len(b))
+		x.peer.Received(x.s.Loop.Now(), len(b))
 		x.arm()
 	}
 	for len(b) > 0 && !x.busy && !x.over {
@@ -166,21 +188,21 @@
 // arm sets the timer for the next look at the peer, unless one comes soon enough: a look that has nothing to say costs
 // less than a timer for each request.
 func (x *client) arm() {
-	now := x.s.Engine.Now()
+	now := x.s.Loop.Now()
 	due := x.peer.Next(now)
 	if due == pace.Never || x.look != nil && x.lookAt <= due {
 		return
 	}
 	x.look.Stop()
 	x.lookAt = due
-	x.look = x.s.Engine.After(time.Duration(due-now)*time.Microsecond, x.looked)
+	x.look = x.s.Loop.After(time.Duration(due-now)*time.Microsecond, x.looked)
 }
 
 // looked takes a look at the peer. Neither silence nor half a request, nor an answer that nobody takes, may hold what
 // others need for good.
 func (x *client) looked() {
 	x.look = nil
-	now := x.s.Engine.Now()
+	now := x.s.Loop.Now()
 	if late := now - x.lookAt; late > stall {
 		x.peer.Extend(late) // what came meanwhile has not been seen yet
 	}
@@ -246,7 +268,7 @@
 
 // makeSpace lets go of slow peers until n more bytes are within the caps, as far as there are such.
 func (s *Server) makeSpace(n int) {
-	for _, p := range s.Pace.Excess(s.Engine.Now(), n) {
+	for _, p := range s.Pace.Excess(s.Loop.Now(), n) {
 		p.Owner.(*client).letGo()
 	}
 }
@@ -264,7 +286,7 @@
 	x.end()
 	if x.request != nil {
 		x.s.release(x)
-		x.s.Engine.Hangup(x.request)
+		x.service.Engine.Hangup(x.request)
 	}
 }
 
@@ -284,8 +306,8 @@
 	if x.over {
 		return
 	}
-	x.peer.Judge(x.s.Engine.Now())
-	x.s.Engine.Counts.BadRequests++
+	x.peer.Judge(x.s.Loop.Now())
+	x.s.Main.Engine.Counts.BadRequests++
 	warn("bad request", "status", status, "why", why)
 	x.answer(status, []byte(why+"\n"))
 }
@@ -308,41 +330,72 @@
 		x.reject(&http1.Error{Status: 503, Reason: "too much in hand"})
 		return
 	}
-	j, why := x.s.job(&m, path)
+	v, status, why := x.s.find(&m, path)
+	if v == nil {
+		x.refuseInput(status, why)
+		return
+	}
+	now := x.s.Loop.Now()
+	j, why := v.job(&m, path, now)
 	if why != "" {
 		x.refuseInput(400, why)
 		return
 	}
 	c := &call{method: m.Method, target: m.Target, id: m.Get("x-call-id"), key: m.Get("idempotency-key"), body: m.Body,
-		once: x.s.Engine.Class(j.Class).Effect == decide.Unsafe}
-	x.peer.Judge(x.s.Engine.Now())
+		once: v.Engine.Class(j.Class).Effect == decide.Unsafe}
+	x.peer.Judge(now)
 	if x.s.shut {
 		x.Refused(0)
 		return
 	}
-	if !x.s.claim(x, c.id) {
+	if x.s.taken(c.id) {
 		x.refuseInput(409, "call id is in use")
 		return
 	}
-	x.peer.Work(x.s.Engine.Now())
-	r := x.s.Engine.Submit(j, c, x)
+	if v.Pool != nil {
+		if no := v.Pool.Admit(now, j.Class, len(m.Body)); no.Refused() {
+			x.answer(no.Status, []byte(no.Why+"\n"), retryAfter(time.Duration(no.After)*time.Microsecond)...)
+			return
+		}
+	}
+	x.s.claim(x, c.id)
+	x.service, x.class, x.booked = v, j.Class, len(m.Body)
+	x.peer.Work(now)
+	r := v.Engine.Submit(j, c, x)
 	if x.id != "" { // not answered already
 		x.request = r
 	}
 }
 
+// find returns the service that a request is for, or says with which status there is none.
+func (s *Server) find(m *http1.Message, path string) (v *Service, status int, why string) {
+	if s.Route == nil {
+		return s.Main, 0, ""
+	}
+	v, miss := s.Route(route.Request{Host: m.Get("host"), Path: path, Class: m.Get("x-call-class"), Header: m.Get})
+	switch miss {
+	case route.UnknownHost:
+		return nil, 421, "no service for this host"
+	case route.NoRoute:
+		return nil, 404, "no service for this host, path and class"
+	}
+	return v, 0, ""
+}
+
+// taken reports whether the id is in use or was until just now.
+func (s *Server) taken(id string) bool {
+	_, taken := s.ids[id]
+	return taken
+}
+
 // claim takes the id of a request that is to become a job. Every request has a fresh one: a second job under the
 // id of one that is open, or was until just now, would end in the other's answer or run its work twice.
-func (s *Server) claim(x *client, id string) bool {
-	if _, taken := s.ids[id]; taken {
-		return false
-	}
+func (s *Server) claim(x *client, id string) {
 	s.ids[id] = struct{}{}
 	x.id = id
-	return true
 }
 
-// release lets go of the id in hand; it stays known until maxIDs others have followed.
+// release ends the request in hand in the books. Its id stays known until maxIDs others have followed.
 func (s *Server) release(x *client) {
 	if x.id == "" {
 		return
@@ -355,6 +408,9 @@
 		s.oldest = (s.oldest + 1) % maxIDs
 	}
 	x.id = ""
+	if x.service != nil && x.service.Pool != nil {
+		x.service.Pool.Done(x.class, x.booked)
+	}
 }
 
 func (x *client) serveOwn(method, path string) {
@@ -365,7 +421,7 @@
 		x.refuseInput(404, "unknown path")
 		return
 	}
-	x.peer.Judge(x.s.Engine.Now())
+	x.peer.Judge(x.s.Loop.Now())
 	switch path {
 	case "/-/ready":
 		if x.s.Ready() && !x.s.closing {
@@ -381,11 +437,11 @@
 }
 
 // job reads what the decisions need to know, or says what is wrong.
-func (s *Server) job(m *http1.Message, path string) (j decide.Job, why string) {
+func (v *Service) job(m *http1.Message, path string, now decide.Time) (j decide.Job, why string) {
 	if name := repeated(m); name != "" {
 		return j, "more than one " + name
 	}
-	class, ok := s.Classes[m.Get("x-call-class")]
+	class, ok := v.Classes[m.Get("x-call-class")]
 	if !ok {
 		return j, "unknown class"
 	}
@@ -400,7 +456,7 @@
 	}
 	h := fnv.New64a()
 	h.Write([]byte(path[strings.LastIndexByte(path, '/')+1:]))
-	j = decide.Job{Class: class, Key: h.Sum64(), GiveUpAt: s.Engine.Now() + int64((left-sentAgo)/time.Microsecond)}
+	j = decide.Job{Class: class, Key: h.Sum64(), GiveUpAt: now + int64((left-sentAgo)/time.Microsecond)}
 	if v, err := strconv.ParseFloat(m.Get("x-call-cost"), 64); err == nil && v > 0 && v < 1e15 {
 		j.Hint = decide.Time(v)
 	}
@@ -464,13 +520,16 @@
 func (x *client) Served(result []byte) { x.answer(200, result) }
 
 // Refused implements engine.Client.
-func (x *client) Refused(retryAfter time.Duration) {
-	if retryAfter <= 0 {
-		x.answer(503, []byte("refused\n"))
-		return
+func (x *client) Refused(wait time.Duration) {
+	x.answer(503, []byte("refused\n"), retryAfter(wait)...)
+}
+
+// retryAfter is the field that advises a wait, if there is one.
+func retryAfter(wait time.Duration) []http1.Field {
+	if wait <= 0 {
+		return nil
 	}
-	x.answer(503, []byte("refused\n"), http1.Field{Name: "Retry-After",
-		Value: strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64)})
+	return []http1.Field{{Name: "Retry-After", Value: strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)}}
 }
 
 // Failed implements engine.Client.
@@ -485,7 +544,7 @@
 	x.request, x.busy = nil, true
 	x.s.release(x)
 	b := http1.AppendResponse(nil, status, x.keepAlive, body, fields...)
-	x.peer.Send(x.s.Engine.Now())
+	x.peer.Send(x.s.Loop.Now())
 	x.untaken = len(b)
 	x.conn.Write(b, x.answered)
 	if n := x.conn.Queued(); n > 0 {
@@ -512,7 +571,7 @@
 	x.busy = false
 	x.peer.HoldOut(0)
 	x.peer.HoldIn(0)
-	x.peer.Sent(x.s.Engine.Now())
+	x.peer.Sent(x.s.Loop.Now())
 	x.arm()
 	x.parser.Reset()
 	next := x.ahead
--- a/internal/jobs/discovery.go
+++ b/internal/jobs/discovery.go
@@ -32,6 +32,8 @@
 	Engine *engine.Engine
 	Dialer Dialer
 	Addr   string
+	// Service names the service in the log; "" is the platform's.
+	Service string
 
 	index   int64
 	foreign bool // the index is not this discovery's: only a whole list can tell where we stand
@@ -84,6 +86,34 @@
 	return out
 }
 
+// ReadList reads a list answer. A worker without a name or an address, or with a name that stands twice, is an error: half
+// a list is worse than the last one.
+func ReadList(text []byte) ([]engine.Entry, error) {
+	var l list
+	if err := json.Unmarshal(text, &l); err != nil {
+		return nil, err
+	}
+	names := map[string]bool{}
+	for i, e := range l.Endpoints {
+		if e.Name == "" || e.Address == "" || names[e.Name] {
+			return nil, fmt.Errorf("endpoint %d (%q): no name of its own, or no address", i, e.Name)
+		}
+		if _, ok := states[e.Status]; !ok {
+			return nil, fmt.Errorf("endpoint %d (%q): status %q; allowed: SERVING, DRAINING, DELETED", i, e.Name, e.Status)
+		}
+		names[e.Name] = true
+	}
+	return l.entries(), nil
+}
+
+// Close ends the watch, without a word to the module.
+func (d *Discovery) Close() {
+	d.on = false
+	if d.calling != nil {
+		d.calling.drop()
+	}
+}
+
 // Known takes in the list of the configuration.
 func (d *Discovery) Known(text []byte) error {
 	var l list
@@ -211,7 +241,7 @@
 	d := x.d
 	x.drop()
 	if l == nil {
-		warn("worker list call failed", "why", why)
+		warn("worker list call failed", named(d.Service, "why", why)...)
 		d.Engine.Announce(decide.ListFailed, nil)
 		return
 	}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -136,3 +136,11 @@
 	slog.Warn(text, append(args, "unlogged", w.dropped[text])...)
 	w.next[text], w.dropped[text] = now.Add(time.Second), 0
 }
+
+// named puts the service's name before the other words of a log line, where it has one.
+func named(service string, args ...any) []any {
+	if service == "" {
+		return args
+	}
+	return append([]any{"service", service}, args...)
+}
--- a/internal/jobs/worker.go
+++ b/internal/jobs/worker.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"time"
 
@@ -20,6 +21,7 @@
 	probeAgain   = 150 * time.Millisecond // without an answer the connection may be dead, and the worker well
 	tailWait     = time.Second            // for the end of a response whose last line has come
 	maxResult    = 256 << 10              // one line of a worker
+	probesAtOnce = 4                      // to one worker; further ones wait for the answer to the last of those
 )
 
 // Workers implements engine.Workers over HTTP.
@@ -28,9 +30,12 @@
 	Dialer  Dialer
 	Reports *Reports
 	Host    string // of the Host header
+	Service string // names the service in the log; "" is the platform's
 	// Pace is how slowly a worker may take a request or write a line of its answer. Between two lines it is at work,
 	// and nothing is asked of it.
 	Pace pace.Rate
+
+	probing map[*engine.Worker][]*exchange // probes not answered yet
 }
 
 // exchange is one request and its response on one connection to a worker.
@@ -47,6 +52,7 @@
 	over     bool
 	attempt  *engine.Attempt
 	probe    *engine.Probe
+	others   []*engine.Probe // that wait for the same answer
 	timer    *engine.Timer
 	meter    pace.Meter // of the request on its way out, then of a line that is not whole
 	look     *engine.Timer
@@ -79,10 +85,21 @@
 	}
 }
 
-// Probe implements engine.Workers.
+// Probe implements engine.Workers. A worker that answers none would hold a descriptor for each: those of a busy service
+// once left its neighbours without. What is asked while probesAtOnce are out waits for the answer to the last of them,
+// which is as fresh as its own would be, since the worker looks at its load when it answers.
 func (w *Workers) Probe(p *engine.Probe) {
+	if out := w.probing[p.Worker]; len(out) >= probesAtOnce {
+		last := out[len(out)-1]
+		last.others = append(last.others, p)
+		return
+	}
 	x := w.exchange(p.Worker)
 	x.probe = p
+	if w.probing == nil {
+		w.probing = map[*engine.Worker][]*exchange{}
+	}
+	w.probing[p.Worker] = append(w.probing[p.Worker], x)
 	x.timer = w.Engine.After(probeAgain, func() {
 		x.timer = w.Engine.After(probeTimeout-probeAgain, func() { x.end(decide.TimedOut) })
 		if x.conn != nil && x.parser.Idle() {
@@ -189,7 +206,7 @@
 		return
 	}
 	x.w.Engine.Counts.SlowWorkers++
-	warn("slow worker cut off", "worker", x.worker.Name, "request_sent", x.written)
+	warn("slow worker cut off", named(x.w.Service, "worker", x.worker.Name, "request_sent", x.written)...)
 	if x.written {
 		x.end(decide.Reset)
 	} else {
@@ -223,7 +240,7 @@
 		return
 	}
 	if err != nil {
-		warn("bad response", "worker", x.worker.Name, "why", err)
+		warn("bad response", named(x.w.Service, "worker", x.worker.Name, "why", err)...)
 		x.end(decide.Reset)
 		return
 	}
@@ -301,7 +318,7 @@
 		Load   json.RawMessage `json:"load"`
 	}
 	if err := json.Unmarshal(line, &in); err != nil || in.ID != "" && in.ID != x.attempt.Request.Payload.(*call).id {
-		warn("bad line of a job", "worker", x.worker.Name)
+		warn("bad line of a job", named(x.w.Service, "worker", x.worker.Name)...)
 		x.end(decide.Reset)
 		return
 	}
@@ -378,7 +395,21 @@
 	if x.attempt != nil {
 		x.attempt.End(s, x.result, x.report)
 	} else {
+		x.w.answered(x)
 		x.probe.End(s, x.report)
+		for _, p := range x.others {
+			p.End(s, x.report)
+		}
+	}
+}
+
+// answered takes a probe out of those that are under way.
+func (w *Workers) answered(x *exchange) {
+	out := slices.DeleteFunc(w.probing[x.worker], func(y *exchange) bool { return x == y })
+	if len(out) == 0 {
+		delete(w.probing, x.worker)
+	} else {
+		w.probing[x.worker] = out
 	}
 }
 
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,164 @@
+package pool
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+// What a pool refuses, with which status and when to come again; nothing is booked for what is refused.
+func TestAdmit(t *testing.T) {
+	for name, c := range map[string]struct {
+		all, class Limits
+		begin      int // how many ask at once
+		bytes      int
+		begun      int
+		status     int
+		after      Time
+	}{
+		"no limit":          {Limits{}, Limits{}, 100, 9, 100, 0, 0},
+		"open":              {Limits{Open: 3}, Limits{}, 5, 9, 3, 503, second},
+		"open of a class":   {Limits{Open: 9}, Limits{Open: 2}, 5, 9, 2, 503, second},
+		"bytes":             {Limits{Bytes: 30}, Limits{}, 5, 9, 3, 503, second},
+		"rate":              {Limits{Rate: 10, Burst: 2}, Limits{}, 5, 9, 2, 429, second / 10},
+		"rate of a class":   {Limits{}, Limits{Rate: 1}, 5, 9, 1, 429, second},
+		"the share is used": {Limits{}, Limits{}, 20, 9, 10, 503, second},
+	} {
+		var share *Share
+		if name == "the share is used" {
+			b := NewBudget(13)
+			share = b.Share(4)
+			b.Share(3) // another's, which is not lent
+		}
+		p := New("p", c.all, []Limits{c.class, {}}, share, nil)
+		begun := 0
+		var last Verdict
+		for range c.begin {
+			if v := p.Admit(0, 0, c.bytes); !v.Refused() {
+				begun++
+			} else {
+				last = v
+			}
+		}
+		assert.Equal(t, c.begun, begun, name)
+		assert.Equal(t, begun, p.Open(), name)
+		assert.Equal(t, c.status, last.Status, name)
+		assert.InDelta(t, c.after, last.After, 2, name)
+		for range begun {
+			p.Done(0, c.bytes)
+		}
+		assert.Zero(t, p.all.open+p.all.bytes+p.classes[0].open+p.classes[0].bytes, name)
+		if c.status == 429 {
+			assert.False(t, p.Admit(last.After+1, 0, 1).Refused(), "%s: the advice holds", name)
+		}
+	}
+}
+
+// Second tries are a share of first ones, with a floor; without limits there is no end to them.
+func TestRetries(t *testing.T) {
+	p := New("p", Limits{Retries: 0.2, RetryFloor: 2}, []Limits{{}}, nil, nil)
+	tries := func(now Time) (n int) {
+		for n < 1000 && p.Retry(now, 0) {
+			n++
+		}
+		return n
+	}
+	assert.Equal(t, 2, tries(0), "the floor")
+	for range 50 {
+		p.Admit(0, 0, 0)
+	}
+	assert.Equal(t, 10, tries(0))
+	assert.Equal(t, 2, tries(second))
+	for range 10000 {
+		p.Admit(second, 0, 0)
+	}
+	assert.Equal(t, maxSaved, tries(second), "a quiet time saves up only so many")
+	assert.Equal(t, 4, p.Counts.RetriesDenied)
+	p.SetLimits(Limits{Retries: 0.5}, []Limits{{}})
+	assert.Zero(t, tries(2*second))
+	p.SetLimits(Limits{}, []Limits{{}})
+	assert.Equal(t, 1000, tries(2*second))
+}
+
+// Whatever the pools do, the budget is never passed, and what is reserved for one is there at once.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.IntRange(0, 50).Draw(t, "total")
+		b := NewBudget(total)
+		var shares []*Share
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			if len(shares) == 0 || b.used == 0 && rapid.IntRange(0, 3).Draw(t, "new") == 0 {
+				shares = append(shares, b.Share(rapid.IntRange(0, 20).Draw(t, "reserve")))
+			}
+			s := rapid.SampledFrom(shares).Draw(t, "share")
+			n := rapid.IntRange(1, 5).Draw(t, "n")
+			inUse := 0
+			for _, v := range shares {
+				inUse += v.used
+			}
+			switch rapid.IntRange(0, 4).Draw(t, "op") {
+			case 0, 1, 2:
+				reserved := s.used+n <= s.reserve
+				if got := s.Take(n); reserved && !got {
+					t.Fatalf("%d of a reserve of %d, %d in use, not to be had", n, s.reserve, s.used)
+				} else if got && inUse+n > total {
+					t.Fatalf("%d of %d in use", inUse+n, total)
+				}
+			case 3:
+				s.Give(min(n, s.used))
+			case 4:
+				if inUse == 0 { // as a reload would, once nothing of the old terms is in hand
+					s.Reserve(n)
+				}
+			}
+			reserved, above := 0, 0
+			for _, v := range shares {
+				reserved += v.reserve
+				above += v.above()
+			}
+			if b.used > total {
+				t.Fatalf("%d of %d in use", b.used, total)
+			}
+			if reserved != b.reserved || above != b.common || reserved > total {
+				t.Fatalf("books: %d reserved, %d above; %+v", reserved, above, *b)
+			}
+		}
+	})
+}
+
+// A lane that floods a busy loop is held to its weight; the others, and all while the loop is idle, are not held at all.
+func TestLoopTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		cost, quiet Time    // of one request, of the flood and of the others
+		want        float64 // part of the time that the flood gets, at most
+		held        bool
+	}{
+		"idle":  {100, 100, 0.2, false},
+		"flood": {1000, 1000, 0.55, true},
+	} {
+		clock := &Clock{}
+		flood, quiet := clock.Lane(0, 1), clock.Lane(0, 1)
+		var now, used Time
+		held, turned := false, 0
+		for step := range 10000 {
+			now += max(1000, c.cost) // the loop has time for one request each ms
+			if step%2 == 0 {         // the others ask for half of it at most
+				if quiet.Late(now) > 0 {
+					turned++
+				} else {
+					quiet.Used(now, c.quiet*9/10)
+				}
+			} else if flood.Late(now) > 0 {
+				held = true
+			} else {
+				flood.Used(now, 2*c.cost)
+				used += 2 * c.cost
+				now += c.cost
+			}
+		}
+		assert.Equal(t, c.held, held, name)
+		assert.Zero(t, turned, "%s: the quiet one is never held", name)
+		assert.LessOrEqual(t, float64(used)/float64(now), c.want, name)
+	}
+}
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -29,6 +29,7 @@
 // Load is a crowd of clients with one target. The same seed gives the same jobs at the same times.
 type Load struct {
 	Target string // host:port
+	Host   string // of the Host field; "": the target
 	From   string // the loopback address that they come from; "": the system's choice
 	Seed   uint64
 	Name   string // starts the ids of their jobs
@@ -150,7 +151,7 @@
 
 // one sends one job and books its end; it reports whether it was served.
 func (c *crowd) one(id string, k *Kind, due time.Time) bool {
-	status, body, err := Ask(c.client, c.Target, id, k)
+	status, body, err := Ask(c.client, c.Target, c.Host, id, k)
 	took := time.Since(due)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -177,12 +178,13 @@
 	return err == nil && status == 200
 }
 
-// Ask sends one job and returns status and body of its answer.
-func Ask(client *http.Client, target, id string, k *Kind) (int, string, error) {
+// Ask sends one job and returns status and body of its answer. A host of "" is the target's.
+func Ask(client *http.Client, target, host, id string, k *Kind) (int, string, error) {
 	r, err := http.NewRequest("POST", "http://"+target+"/api/1?"+k.Task.Query(), strings.NewReader(strings.Repeat("x", k.Body)))
 	if err != nil {
 		return 0, "", err
 	}
+	r.Host = host
 	r.Header.Set("X-Call-Id", id)
 	r.Header.Set("X-Call-Class", k.Class)
 	r.Header.Set("X-Budget", fmt.Sprintf("%dm", k.Budget.Milliseconds()))
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -71,6 +71,7 @@
 	c     WorkerConfig
 	ln    net.Listener
 	stop  chan struct{}
+	once  sync.Once // of stop
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
 	began time.Time // its last start
@@ -137,9 +138,9 @@
 // Name is the name by which discovery knows it.
 func (w *Worker) Name() string { return w.c.Name }
 
-// Close ends the worker and its connections.
+// Close ends the worker and its connections, once or more often.
 func (w *Worker) Close() {
-	close(w.stop)
+	w.once.Do(func() { close(w.stop) })
 	w.ln.Close()
 	w.breakAll()
 }
