A command line, a demo, a sampled log on zap, metrics and a control socket

Warnings were bounded by hand.

Change: commands on kong: serve (also without a command, so the platform's line stays), check, demo, load, stats, reload, drain, level, version, completion; the demo plays a scheduler between stand-ins with five troubles and says what each rule saw. The log is zap behind log/slog: JSON, or text on a terminal, sampled, level at run time, each request traced by its number at debug. /-/metrics (histograms of wait, probe, attempt and answer) and the control socket (owner only) are off unless the operator's file names them. docs/REFERENCE.md is made from the code, a test holds it.

--- /dev/null
+++ b/cmd/weldscale/control.go
@@ -0,0 +1,166 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"time"
+
+	"weldscale/internal/logs"
+)
+
+// This file owns the control socket, by which the operator speaks to a running scheduler, and the commands that do. It
+// is there only where the operator's file names a path, and for the owner alone. It must never wait for the loop
+// without end, nor take a request of a client.
+
+const controlWait = 10 * time.Second
+
+// control serves the socket.
+type control struct {
+	s    *scheduler
+	read func() (*config, error)
+	srv  *http.Server
+}
+
+// listenControl opens the socket. One that is left from a scheduler that has ended is replaced; one that answers is not.
+func listenControl(path string) (net.Listener, error) {
+	if c, err := net.DialTimeout("unix", path, time.Second); err == nil {
+		c.Close()
+		return nil, fmt.Errorf("control socket %s: in use by a running program", path)
+	}
+	if info, err := os.Lstat(path); err == nil {
+		if info.Mode()&os.ModeSocket == 0 {
+			return nil, fmt.Errorf("control socket %s: there is something else at that path", path)
+		}
+		if err := os.Remove(path); err != nil {
+			return nil, fmt.Errorf("control socket: %w", err)
+		}
+	}
+	old := syscall.Umask(0o177) // from its first moment it is the owner's alone
+	defer syscall.Umask(old)
+	ln, err := net.Listen("unix", path)
+	if err != nil {
+		return nil, fmt.Errorf("control socket: %w", err)
+	}
+	return ln, nil
+}
+
+// startControl serves the socket until the program ends.
+func startControl(s *scheduler, path string, read func() (*config, error)) (*control, error) {
+	ln, err := listenControl(path)
+	if err != nil {
+		return nil, err
+	}
+	c := &control{s: s, read: read}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /stats", c.stats)
+	mux.HandleFunc("POST /reload", c.reload)
+	mux.HandleFunc("POST /drain", c.drain)
+	mux.HandleFunc("POST /level", c.level)
+	c.srv = &http.Server{Handler: mux, ReadHeaderTimeout: controlWait}
+	go func() {
+		if err := c.srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			slog.Error("control socket closed", "why", err)
+		}
+	}()
+	return c, nil
+}
+
+// close ends the socket and takes its path away.
+func (c *control) close() {
+	if c != nil {
+		c.srv.Close()
+	}
+}
+
+func (c *control) stats(w http.ResponseWriter, _ *http.Request) {
+	var text string
+	c.s.loop.Do(func() { text = c.s.server.Stats() })
+	fmt.Fprintln(w, text)
+}
+
+func (c *control) reload(w http.ResponseWriter, _ *http.Request) {
+	conf, err := c.read()
+	c.s.loop.Do(func() { err = c.s.reload(conf, err) })
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusUnprocessableEntity)
+		return
+	}
+	fmt.Fprintln(w, "the new configuration is in force")
+}
+
+func (c *control) drain(w http.ResponseWriter, _ *http.Request) {
+	n := 0
+	c.s.loop.Do(func() {
+		slog.Info("stopping", "signal", "control socket", "open", c.s.inHand())
+		n = c.s.inHand()
+		c.s.stop()
+	})
+	fmt.Fprintf(w, "stopping; %d requests in hand are answered first\n", n)
+}
+
+func (c *control) level(w http.ResponseWriter, r *http.Request) {
+	to := r.URL.Query().Get("to")
+	if err := logs.SetLevel(to); err != nil {
+		http.Error(w, err.Error(), http.StatusUnprocessableEntity)
+		return
+	}
+	slog.Info("log level", "to", to)
+	c.s.loop.Do(c.s.trace)
+	fmt.Fprintln(w, "the log's level is", to)
+}
+
+// remote is what the commands that speak to a running scheduler share.
+type remote struct {
+	Socket string `arg:"" help:"The control socket, as the control block of the operator's file names it." placeholder:"PATH"`
+}
+
+// call asks the scheduler and prints its answer.
+func (r remote) call(ctx context.Context, method, path string) error {
+	client := &http.Client{Timeout: controlWait, Transport: &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "unix", r.Socket)
+	}}}
+	req, err := http.NewRequestWithContext(ctx, method, "http://weldscale"+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) {
+			err = op
+		}
+		return fmt.Errorf("%s: no scheduler answers there: %w", r.Socket, err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errors.New(strings.TrimSpace(string(text)))
+	}
+	_, err = io.Copy(os.Stdout, bytes.NewReader(text))
+	return err
+}
+
+type statsCmd struct{ remote }
+type reloadCmd struct{ remote }
+type drainCmd struct{ remote }
+type levelCmd struct {
+	remote
+	To string `arg:"" help:"debug, info, warn or error." enum:"debug,info,warn,error"`
+}
+
+func (c statsCmd) Run(ctx context.Context) error  { return c.call(ctx, "GET", "/stats") }
+func (c reloadCmd) Run(ctx context.Context) error { return c.call(ctx, "POST", "/reload") }
+func (c drainCmd) Run(ctx context.Context) error  { return c.call(ctx, "POST", "/drain") }
+func (c levelCmd) Run(ctx context.Context) error  { return c.call(ctx, "POST", "/level?to="+c.To) }
--- /dev/null
+++ b/cmd/weldscale/load.go
@@ -0,0 +1,154 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jedib0t/go-pretty/v6/table"
+
+	"weldscale/internal/standin"
+)
+
+// This file owns the load command: jobs to any running scheduler, and what became of them.
+
+// loadCmd is the command.
+type loadCmd struct {
+	Target  string        `arg:"" help:"Where the scheduler listens." placeholder:"HOST:PORT"`
+	Host    string        `help:"The Host field, where services go by it." placeholder:"NAME"`
+	Rate    float64       `help:"Jobs a second in an open loop, whatever becomes of the earlier ones; 0: a closed loop of --clients."`
+	Clients int           `help:"Clients of the closed loop, each with one job at a time." default:"32"`
+	For     time.Duration `help:"How long." default:"10s"`
+	Seed    uint64        `help:"The same seed gives the same jobs at the same times." default:"1"`
+	Class   string        `help:"The jobs' class." default:"view"`
+	Job     time.Duration `help:"How long a stand-in worker is to run each; other workers pass it over."`
+	Slots   int           `help:"Slots that each takes." default:"1"`
+	Body    int           `help:"Bytes of each request's body." default:"200"`
+	Answer  int           `help:"Bytes of a stand-in worker's answer."`
+	Budget  time.Duration `help:"How long a client waits." default:"5s"`
+	Within  time.Duration `help:"An answer is in time within this; 0: within the budget."`
+	JSON    string        `help:"Write the figures there too." placeholder:"FILE" type:"path"`
+	HDR     string        `help:"Write the latencies there too, as an HdrHistogram log." placeholder:"FILE" type:"path"`
+	Against string        `help:"Figures of an earlier run, by --json, to compare with." placeholder:"FILE" type:"path"`
+}
+
+// figures is what a run is written down as. Times are in milliseconds.
+type figures struct {
+	Sent    int     `json:"sent"`
+	Served  int     `json:"served"`
+	Refused int     `json:"refused"`
+	Failed  int     `json:"failed"`
+	Broken  int     `json:"broken"`
+	Wrong   int     `json:"wrong"`
+	InTime  float64 `json:"in_time"`
+	Rate    float64 `json:"served_per_s"`
+	P50     float64 `json:"p50_ms"`
+	P90     float64 `json:"p90_ms"`
+	P99     float64 `json:"p99_ms"`
+	P999    float64 `json:"p999_ms"`
+	Max     float64 `json:"max_ms"`
+}
+
+func figuresOf(t *standin.Tally) figures {
+	ms := func(q float64) float64 { return t.Quantile(q).Seconds() * 1e3 }
+	return figures{t.Sent, t.Served, t.Refused, t.Failed, t.Broken, t.Wrong, t.InTimeShare(), float64(t.Served) / t.Took.Seconds(),
+		ms(50), ms(90), ms(99), ms(99.9), ms(100)}
+}
+
+// Run implements the command.
+func (c loadCmd) Run(ctx context.Context) error {
+	if c.Rate < 0 || c.Rate == 0 && c.Clients < 1 {
+		return errors.New("load: --rate must be above 0, or --clients at least 1")
+	}
+	var before *figures
+	if c.Against != "" { // read first: a run is not to be lost for it
+		text, err := os.ReadFile(c.Against)
+		if err != nil {
+			return err
+		}
+		before = new(figures)
+		if err := json.Unmarshal(text, before); err != nil {
+			return fmt.Errorf("%s: %w", c.Against, err)
+		}
+	}
+	t := standin.Load{Target: c.Target, Host: c.Host, Seed: c.Seed, Name: fmt.Sprintf("load%x-", time.Now().UnixNano()), For: c.For, Rate: c.Rate,
+		Clients: c.Clients, Kinds: []standin.Kind{{Class: c.Class, Share: 1, Body: c.Body, Budget: c.Budget, Within: c.Within,
+			Task: standin.Task{Run: c.Job, Slots: c.Slots, Size: c.Answer}}}}.Run(ctx)
+	f := figuresOf(t)
+	show(f, before)
+	for why, n := range t.Why {
+		fmt.Printf("%d ended as: %s\n", n, why)
+	}
+	if c.JSON != "" {
+		text, err := json.MarshalIndent(f, "", "  ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(c.JSON, append(text, '\n'), 0o644); err != nil {
+			return err
+		}
+	}
+	if c.HDR != "" {
+		return writeHDR(c.HDR, t.Latency)
+	}
+	return nil
+}
+
+func show(f figures, before *figures) {
+	out := table.NewWriter()
+	out.SetOutputMirror(os.Stdout)
+	out.SetStyle(table.StyleLight)
+	head := table.Row{"", "now"}
+	if before != nil {
+		head = append(head, "before", "now / before")
+	}
+	out.AppendHeader(head)
+	row := func(name, form string, now, was float64) {
+		r := table.Row{name, fmt.Sprintf(form, now)}
+		if before != nil {
+			r = append(r, fmt.Sprintf(form, was))
+			if was != 0 {
+				r = append(r, fmt.Sprintf("%.2f", now/was))
+			}
+		}
+		out.AppendRow(r)
+	}
+	b := figures{}
+	if before != nil {
+		b = *before
+	}
+	row("sent", "%.0f", float64(f.Sent), float64(b.Sent))
+	row("served", "%.0f", float64(f.Served), float64(b.Served))
+	row("refused", "%.0f", float64(f.Refused), float64(b.Refused))
+	row("failed", "%.0f", float64(f.Failed), float64(b.Failed))
+	row("broken", "%.0f", float64(f.Broken), float64(b.Broken))
+	row("wrong", "%.0f", float64(f.Wrong), float64(b.Wrong))
+	row("in time", "%.4f", f.InTime, b.InTime)
+	row("served a second", "%.0f", f.Rate, b.Rate)
+	row("p50 ms", "%.2f", f.P50, b.P50)
+	row("p90 ms", "%.2f", f.P90, b.P90)
+	row("p99 ms", "%.2f", f.P99, b.P99)
+	row("p99.9 ms", "%.2f", f.P999, b.P999)
+	row("max ms", "%.2f", f.Max, b.Max)
+	out.Render()
+}
+
+func writeHDR(path string, h *hdrhistogram.Histogram) (err error) {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, f.Close()) }()
+	w := hdrhistogram.NewHistogramLogWriter(f)
+	if err := w.OutputLogFormatVersion(); err != nil {
+		return err
+	}
+	if err := w.OutputLegend(); err != nil {
+		return err
+	}
+	return w.OutputIntervalHistogram(h)
+}
--- /dev/null
+++ b/cmd/weldscale/serve.go
@@ -0,0 +1,235 @@
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"reflect"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	operator "weldscale/internal/config"
+	"weldscale/internal/engine"
+	"weldscale/internal/jobs"
+	"weldscale/internal/logs"
+	"weldscale/internal/metrics"
+	"weldscale/internal/net"
+	"weldscale/internal/pool"
+
+	"weldscale/internal/pace"
+)
+
+// This file owns the scheduler as a program: the wiring of its parts, the process's limits and its signals. It must
+// hold no behaviour that a part could hold.
+
+const (
+	// openFor is how long the door stays open: the front learns of the stop only by and by. It closes whoever still
+	// comes, or those who never stop coming would have requests taken that the end then cuts short.
+	openFor = 600 * time.Millisecond
+	// lastWords is how long the last answers have to leave.
+	lastWords = 100 * time.Millisecond
+	// unsentFor is how long after the signal answers that clients take slowly may hold up the end.
+	unsentFor = 3500 * time.Millisecond
+)
+
+// serveCmd is the scheduler; it is what runs where no command is given.
+type serveCmd struct {
+	Config string `help:"The operator's file, in HCL; see deploy/weldscale.hcl. None is needed." placeholder:"FILE"`
+}
+
+// read reads the platform's configuration and the operator's file.
+func (c serveCmd) read() (*config, error) {
+	conf, err := load(os.Getenv)
+	if err != nil {
+		return nil, err
+	}
+	conf.file = operator.Default(conf.Limits.MemoryMB << 20)
+	if c.Config != "" {
+		conf.file, err = operator.Read(c.Config, conf.Limits.MemoryMB<<20)
+	}
+	return conf, err
+}
+
+// Run implements the command.
+func (c serveCmd) Run() error {
+	// First of all, since unheard they would end the program. A reload that is asked for while one waits is the
+	// same one, but must not take the place of a stop.
+	hups, signals := make(chan os.Signal, 1), make(chan os.Signal, 4)
+	signal.Notify(hups, syscall.SIGHUP)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	conf, err := c.read()
+	if err != nil {
+		return err
+	}
+	// One core is ours. The second P lets the loop go on while the first waits in the poller's system call.
+	runtime.GOMAXPROCS(2)
+	debug.SetGCPercent(400) // live state is small; the limit below bounds what that lets pile up
+	setMemory(conf)
+	s, err := start(conf)
+	if err != nil {
+		return err
+	}
+	if path := conf.file.Control; path != "" {
+		socket, err := startControl(s, path, c.read)
+		if err != nil {
+			return err
+		}
+		defer socket.close()
+	}
+	slog.Info("serving", "name", conf.Name, "listen", s.driver.Addr())
+	go func() {
+		for range hups {
+			conf, err := c.read()
+			s.loop.Post(func() { _ = s.reload(conf, err) })
+		}
+	}()
+	go func() {
+		for got := range signals {
+			s.loop.Post(func() {
+				if got == syscall.SIGUSR1 {
+					slog.Info("counters", "counts", s.server.Stats())
+				} else {
+					slog.Info("stopping", "signal", got.String(), "open", s.inHand())
+					s.stop()
+				}
+			})
+		}
+	}()
+	s.loop.Post(s.trace)
+	s.loop.Run()
+	slog.Info("stopped", "open", s.inHand(), "counts", s.server.Stats())
+	return nil
+}
+
+// trace follows each request in the log while its level is debug. The engines ask no more than whether there is a trace.
+func (s *scheduler) trace() {
+	set := func(name string, e *engine.Engine) {
+		e.Trace = nil
+		if logs.Debug() {
+			e.Trace = func(event string, request uint32, args ...any) {
+				slog.Debug(event, append([]any{"service", name, "request", request}, args...)...)
+			}
+		}
+	}
+	set("", s.e)
+	for name, v := range s.services {
+		set(name, v.e)
+	}
+}
+
+func setMemory(c *config) { debug.SetMemoryLimit(int64(c.Limits.MemoryMB) << 20 * 6 / 10) }
+
+// scheduler is the parts, wired.
+type scheduler struct {
+	c         *config // in force
+	loop      *engine.Loop
+	e         *engine.Engine
+	driver    *net.Driver
+	server    *jobs.Server
+	workers   *jobs.Workers
+	discovery *jobs.Discovery
+	services  map[string]*service // that the operator's file names
+	leaving   []*service          // that it named before and that have requests in hand
+	open      *pool.Budget        // of requests in hand
+	clock     *pool.Clock         // of the loop's time
+	metrics   *metrics.Set        // nil: none are kept
+	stopping  time.Time           // when the stop began
+	closed    bool                // the door is
+}
+
+// start wires the parts and listens. Nothing is served before the loop runs.
+func start(c *config) (*scheduler, error) {
+	loop := engine.NewLoop()
+	e, err := engine.New(loop, c.engine)
+	if err != nil {
+		return nil, err
+	}
+	driver := net.New(loop, net.Config{Descriptors: c.Limits.Sockets, ConnectTimeout: c.connectTimeout, IdleLimit: c.idleLimit})
+	server := jobs.NewServer(jobs.NewService("", e, c.classes))
+	server.Pace = pace.New(c.file.SlowPeers)
+	driver.Accepted = server.Serve
+	driver.ShedIdle = server.MakeRoom
+	driver.Counted = func(dials, failed, shed int) {
+		e.Counts.Dials += dials
+		e.Counts.DialsFailed += failed
+		e.Counts.Shed += shed
+	}
+	discovery := &jobs.Discovery{Engine: e, Dialer: driver, Addr: c.Discovery}
+	workers := &jobs.Workers{Engine: e, Dialer: driver, Reports: c.reports, Host: "app.svc", Pace: c.file.Workers}
+	e.Use(workers, discovery)
+	if err := discovery.Known(c.Known); err != nil {
+		return nil, err
+	}
+	s := &scheduler{c: c, loop: loop, e: e, driver: driver, server: server, workers: workers, discovery: discovery, clock: &pool.Clock{}}
+	server.Stats = func() string {
+		return fmt.Sprintf("%s %s goroutines=%d log_dropped=%d%s", &e.Counts, server.Pace.Counts(), runtime.NumGoroutine(),
+			logs.Dropped(), s.serviceStats())
+	}
+	if c.file.Metrics {
+		s.metrics = metrics.New()
+		s.metrics.Stats = func() (text string) {
+			loop.Do(func() { text = s.server.Stats() })
+			return text
+		}
+		server.Metrics = s.metrics.Text
+		e.Meter = s.metrics.Service("", c.classes, engine.StatusNames[:])
+	}
+	if err := s.apply(c.file); err != nil {
+		return nil, err
+	}
+	return s, driver.Listen(c.Listen)
+}
+
+// reload puts a new configuration in force, as far as a running scheduler can: where discovery is and the
+// limits. Everything in hand goes on. One that can't be used changes nothing.
+func (s *scheduler) reload(c *config, err error) error {
+	if err != nil {
+		slog.Error("new configuration not taken", "why", err)
+		return err
+	}
+	old := s.c
+	limits := old.Limits
+	old.Limits = c.Limits
+	if err := s.apply(c.file); err != nil {
+		old.Limits = limits
+		slog.Error("new configuration not taken", "why", err)
+		return err
+	}
+	slog.Info("new configuration", "discovery", c.Discovery, "restart_needed", c.Name != old.Name ||
+		c.Listen != old.Listen || !reflect.DeepEqual(c.engine.Settings, old.engine.Settings))
+	old.Discovery, old.Limits, old.file = c.Discovery, c.Limits, c.file
+	setMemory(old)
+	s.server.Pace.SetLimits(c.file.SlowPeers)
+	s.workers.Pace = c.file.Workers
+	s.driver.SetDescriptors(c.Limits.Sockets)
+	s.discovery.Move(c.Discovery)
+	s.trace()
+	return nil
+}
+
+// stop serves for openFor, then answers what was taken, then ends the loop.
+func (s *scheduler) stop() {
+	if s.stopping.IsZero() {
+		s.stopping = time.Now()
+		s.server.Closing()
+		s.stopped()
+	}
+}
+
+func (s *scheduler) stopped() {
+	if !s.closed && time.Since(s.stopping) >= openFor {
+		s.closed = true
+		s.driver.StopListening()
+		s.server.Shut()
+		s.server.CloseIdle()
+	}
+	if s.closed && s.inHand() == 0 && (s.driver.Unsent() == 0 || time.Since(s.stopping) >= unsentFor) {
+		// The last answers are with the system; the exit must not overtake their way there.
+		s.loop.After(lastWords, s.loop.Stop)
+		return
+	}
+	s.loop.After(20*time.Millisecond, s.stopped)
+}
--- a/cmd/weldscale/services.go
+++ b/cmd/weldscale/services.go
@@ -85,6 +85,9 @@
 	v.share, v.lane = s.open.Share(v.conf.Reserve), s.clock.Lane(s.loop.Now(), v.conf.Weight)
 	p := pool.New(v.conf.Name, v.conf.Limits, v.conf.ClassLimits(), v.share, v.lane)
 	s.account(v.jobs, v.e, p, v.lane)
+	if s.metrics != nil {
+		v.e.Meter = s.metrics.Service(v.conf.Name, v.conf.ClassNames(), engine.StatusNames[:])
+	}
 	switch {
 	case v.conf.Discovery != "":
 		v.e.Announce(decide.ListCached, nil) // the module asks from here on
@@ -221,10 +224,18 @@
 	slices.Sort(names)
 	for _, name := range names {
 		v := s.services[name]
-		c := v.jobs.Pool.Counts
-		fmt.Fprintf(&b, "\nservice=%s open=%d begun=%d over_rate=%d over_open=%d over_bytes=%d over_shared=%d over_time=%d "+
-			"retries_denied=%d %s", name, v.e.Open(), c.Begun, c.OverRate, c.OverOpen, c.OverBytes, c.OverShared, c.OverTime,
-			c.RetriesDenied, &v.e.Counts)
+		fmt.Fprintf(&b, "\n%s %s", v.line(name, v.jobs.Pool), &v.e.Counts)
 	}
 	return b.String()
 }
+
+// line is the counters of a service's account.
+func (v *service) line(name string, p *pool.Pool) string {
+	var c pool.Counts
+	open := 0
+	if p != nil {
+		c, open = p.Counts, p.Open()
+	}
+	return fmt.Sprintf("service=%s open=%d begun=%d over_rate=%d over_open=%d over_bytes=%d over_shared=%d over_time=%d retries_denied=%d",
+		name, open, c.Begun, c.OverRate, c.OverOpen, c.OverBytes, c.OverShared, c.OverTime, c.RetriesDenied)
+}
--- a/deploy/weldscale.hcl
+++ b/deploy/weldscale.hcl
@@ -5,6 +5,12 @@
 # SIGHUP reads it anew; a file with a fault changes nothing. Rates are bytes a second (4096, "4KiB", "10KB/s"), spans
 # are text with a unit ("2.5s", "300ms"), sizes are bytes ("64KiB"). See docs/SLOW_PEERS.md.
 
+# How to speak to it while it runs: weldscale stats, reload, drain and level with this path. Off unless named.
+# control { socket = "/run/weldscale/control.sock" }
+
+# Counters and histograms for Prometheus at /-/metrics. Off unless named.
+# metrics {}
+
 # What all services share.
 shared {
   # open = 341 # requests in hand of all services together (unless set: a third of the descriptors, here of 1,024)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,7 @@
 	"math"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -31,6 +32,8 @@
 	Workers   pace.Rate
 	Open      int // requests in hand of all services together; 0: a third of the descriptors
 	Services  []Service
+	Metrics   bool         // /-/metrics is there
+	Control   string       // the path of the control socket; "": there is none
 	Platform  []route.Rule // of the service that the platform's configuration describes
 	Routes    *route.Table // of all; nil where there is no service block
 }
@@ -97,7 +100,10 @@
 	{"workers", "ceiling", span, 0, 24 * hour, "how long a request or a line may take in all; 0: as long as it keeps its rate", func(f *File) any { return &f.Workers.Ceiling }},
 }
 
-const maxLinks = 256
+const (
+	maxLinks  = 256
+	maxSocket = 100 // the system's limit is 107
+)
 
 // layout is the file's blocks, as gohcl reads them.
 type layout struct {
@@ -106,9 +112,15 @@
 	Workers   *block          `hcl:"workers,block"`
 	Links     []*link         `hcl:"link,block"`
 	Platform  *platformBlock  `hcl:"platform,block"`
+	Control   *controlBlock   `hcl:"control,block"`
+	Metrics   *struct{}       `hcl:"metrics,block"`
 	Services  []*serviceBlock `hcl:"service,block"`
 }
 
+type controlBlock struct {
+	Socket hcl.Expression `hcl:"socket"`
+}
+
 type block struct {
 	Body hcl.Body `hcl:",remain"`
 }
@@ -139,6 +151,13 @@
 		r.block("slow_peers", l.SlowPeers)
 		r.block("workers", l.Workers)
 		r.links(l.Links)
+		f.Metrics = l.Metrics != nil
+		if l.Control != nil && l.Control.Socket != nil {
+			f.Control = r.text(l.Control.Socket, "the path of a socket")
+			if f.Control != "" && (!filepath.IsAbs(f.Control) || len(f.Control) > maxSocket) {
+				r.fault(l.Control.Socket.Range(), "allowed is an absolute path of at most %d bytes", maxSocket)
+			}
+		}
 		if len(l.Services) > 0 && !faults.HasErrors() { // else not all that they need is there
 			r.services(l.Services, l.Platform)
 		}
@@ -287,7 +306,15 @@
 // Default of the setting as an operator would write it, for a scheduler of that much memory.
 func (s Setting) Default(memory int) string {
 	f := Default(memory)
-	switch at := s.at(&f).(type) {
+	return s.Value(&f)
+}
+
+// Allowed is the range of the setting.
+func (s Setting) Allowed() string { return show(s.Least, s.Unit) + " to " + show(s.Most, s.Unit) }
+
+// Value of the setting in a file.
+func (s Setting) Value(f *File) string {
+	switch at := s.at(f).(type) {
 	case *float64:
 		return show(*at, s.Unit)
 	case *pace.Time:
--- a/internal/engine/counts.go
+++ b/internal/engine/counts.go
@@ -22,7 +22,8 @@
 	Lag                                     time.Duration // the longest that one piece of work has kept the loop
 }
 
-var statusNames = [...]string{"error", "served", "full", "timed_out", "connect_failed", "reset", "cancelled", "moot"}
+// StatusNames are the names of decide.Status.
+var StatusNames = [...]string{"error", "served", "full", "timed_out", "connect_failed", "reset", "cancelled", "moot"}
 
 // String gives the counters as name=value words, those that are zero left out of the lists by outcome.
 func (c *Counts) String() string {
@@ -35,7 +36,7 @@
 	}{{"attempts", &c.Outcomes}, {"probes", &c.Probes}} {
 		for s, n := range l.n {
 			if n > 0 {
-				fmt.Fprintf(&b, " %s.%s=%d", l.name, statusNames[s], n)
+				fmt.Fprintf(&b, " %s.%s=%d", l.name, StatusNames[s], n)
 			}
 		}
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -33,6 +33,16 @@
 	Probe(p *Probe)
 }
 
+// Meter observes spans, in microseconds.
+type Meter interface {
+	// Wait is from a request's arrival to its first attempt.
+	Wait(class int, t decide.Time)
+	Probe(s decide.Status, t decide.Time)
+	Attempt(class int, s decide.Status, t decide.Time)
+	// Answer is from a request's arrival to its final answer: 0 served, 1 refused, 2 failed, 3 none, since the client left.
+	Answer(class, outcome int, t decide.Time)
+}
+
 // Directory asks for the worker list. It reports by Engine.Announce.
 type Directory interface {
 	Watch(on bool)
@@ -64,6 +74,7 @@
 	GiveUpAt decide.Time
 	Payload  any // what the client's protocol hands to the workers'
 	client   Client
+	came     decide.Time
 	attempts []*Attempt
 	out      int // attempts not yet ended
 	open     bool
@@ -95,6 +106,10 @@
 	Counts Counts
 	// MayRetry, if set, is asked before a second try is sent; where it says no, the try ends unsent.
 	MayRetry func(class int) bool
+	// Meter, if set, observes what requests go through.
+	Meter Meter
+	// Trace, if set, is told what becomes of each request, by its number.
+	Trace func(event string, request uint32, args ...any)
 	// Used, if set, is told how long the loop was at work for this engine.
 	Used func(span time.Duration)
 
@@ -159,10 +174,13 @@
 	for e.lastID++; e.lastID == 0 || e.requests[e.lastID] != nil; e.lastID++ {
 	}
 	j.ID = e.lastID
-	r := &Request{ID: j.ID, Class: j.Class, GiveUpAt: j.GiveUpAt, Payload: payload, client: c, open: true}
+	r := &Request{ID: j.ID, Class: j.Class, GiveUpAt: j.GiveUpAt, Payload: payload, client: c, came: e.Now(), open: true}
 	e.requests[r.ID] = r
 	e.open++
 	e.Counts.Taken++
+	if e.Trace != nil {
+		e.Trace("arrival", r.ID, "class", j.Class, "left_us", j.GiveUpAt-e.Now())
+	}
 	e.call(func() { e.d.Arrive(e.Now(), j) })
 	return r
 }
@@ -171,13 +189,16 @@
 func (e *Engine) Hangup(r *Request) {
 	if r.open {
 		e.Counts.Hangups++
-		e.finish(r)
+		e.finish(r, 3)
 		e.call(func() { e.d.Hangup(e.Now(), r.ID) })
 	}
 }
 
 // finish ends a request. Its attempts still report to the module, but no second answer can follow.
-func (e *Engine) finish(r *Request) {
+func (e *Engine) finish(r *Request, outcome int) {
+	if e.Meter != nil {
+		e.Meter.Answer(r.Class, outcome, e.Now()-r.came)
+	}
 	r.open = false
 	e.open--
 	e.forget(r)
@@ -278,8 +299,14 @@
 	r.out--
 	a.Worker.out--
 	e.Counts.Outcomes[s]++
+	if e.Trace != nil {
+		e.Trace("attempt ended", r.ID, "attempt", a.n, "worker", a.Worker.Name, "outcome", StatusNames[s], "took_us", e.Now()-a.sentAt)
+	}
+	if e.Meter != nil {
+		e.Meter.Attempt(r.Class, s, e.Now()-a.sentAt)
+	}
 	if s == decide.Served && r.open {
-		e.finish(r)
+		e.finish(r, 0)
 		e.Counts.Served++
 		r.client.Served(result)
 	}
@@ -300,6 +327,9 @@
 	p.Worker.out--
 	p.e.Counts.Probes[s]++
 	now := p.e.Now()
+	if p.e.Meter != nil {
+		p.e.Meter.Probe(s, now-p.sentAt)
+	}
 	p.e.call(func() { p.e.d.ProbeResult(now, p.Worker.ID, s, now-p.sentAt, report) })
 }
 
@@ -342,6 +372,12 @@
 		r.out++
 		w.out++
 		e.Counts.Pushes++
+		if e.Meter != nil && a.n == 0 {
+			e.Meter.Wait(r.Class, a.sentAt-r.came)
+		}
+		if e.Trace != nil {
+			e.Trace("attempt", r.ID, "attempt", a.n, "worker", w.Name, "left_us", timeout)
+		}
 		a.timer = e.After(time.Duration(timeout)*time.Microsecond, func() {
 			e.workers.Cancel(a)
 			a.End(decide.TimedOut, nil, decide.Report{})
@@ -375,8 +411,11 @@
 func (x actions) Refuse(id uint32, retryAfter decide.Time) {
 	x.do(func() {
 		if r := x.e.requests[id]; r != nil && r.open {
-			x.e.finish(r)
+			x.e.finish(r, 1)
 			x.e.Counts.Refused++
+			if x.e.Trace != nil {
+				x.e.Trace("refused", id, "retry_after_us", retryAfter)
+			}
 			r.client.Refused(time.Duration(retryAfter) * time.Microsecond)
 		}
 	})
@@ -385,8 +424,11 @@
 func (x actions) Fail(id uint32) {
 	x.do(func() {
 		if r := x.e.requests[id]; r != nil && r.open {
-			x.e.finish(r)
+			x.e.finish(r, 2)
 			x.e.Counts.Failed++
+			if x.e.Trace != nil {
+				x.e.Trace("failed", id)
+			}
 			r.client.Failed()
 		}
 	})
--- a/internal/jobs/client.go
+++ b/internal/jobs/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"hash/fnv"
+	"log/slog"
 	"math"
 	"strconv"
 	"strings"
@@ -61,6 +62,8 @@
 	Ready func() bool
 	// Stats is the text of the counters.
 	Stats func() string
+	// Metrics, if set, is what /-/metrics answers. It is called beside the loop.
+	Metrics func() ([]byte, error)
 	// Pace decides how slow a client may be, what may wait for it and who goes as room runs short.
 	Pace *pace.Keeper
 
@@ -233,7 +236,7 @@
 // tooSlow ends a connection whose peer was too slow for too long.
 func (x *client) tooSlow() {
 	phase := x.peer.Phase()
-	warn("slow peer cut", "addr", x.conn.Peer(), "phase", phase, "link", x.peer.Link)
+	slog.Warn("slow peer cut", "addr", x.conn.Peer(), "phase", phase, "link", x.peer.Link)
 	if phase == pace.Receiving && !x.parser.Idle() {
 		x.keepAlive, x.busy = false, true
 		x.refuseInput(408, "request did not come in whole")
@@ -245,7 +248,7 @@
 // letGo ends a connection as room runs short. A request that is not whole is refused, if the system takes the words.
 func (x *client) letGo() {
 	if x.peer.Phase() == pace.Receiving && !x.parser.Idle() {
-		warn("slow peer let go: room is short", "addr", x.conn.Peer(), "link", x.peer.Link)
+		slog.Warn("slow peer let go: room is short", "addr", x.conn.Peer(), "link", x.peer.Link)
 		x.conn.Write(http1.AppendResponse(nil, 503, false, []byte("no room\n"), http1.Field{Name: "Retry-After", Value: "1"}), nil)
 	}
 	x.close()
@@ -308,7 +311,7 @@
 	}
 	x.peer.Judge(x.s.Loop.Now())
 	x.s.Main.Engine.Counts.BadRequests++
-	warn("bad request", "status", status, "why", why)
+	slog.Warn("bad request", "status", status, "why", why)
 	x.answer(status, []byte(why+"\n"))
 }
 
@@ -362,6 +365,9 @@
 	x.service, x.class, x.booked = v, j.Class, len(m.Body)
 	x.peer.Work(now)
 	r := v.Engine.Submit(j, c, x)
+	if v.Engine.Trace != nil {
+		v.Engine.Trace("taken", r.ID, "call_id", c.id, "target", c.target, "addr", x.conn.Peer())
+	}
 	if x.id != "" { // not answered already
 		x.request = r
 	}
@@ -429,6 +435,21 @@
 		} else {
 			x.answer(503, []byte("not ready\n"))
 		}
+	case "/-/metrics":
+		if x.s.Metrics == nil {
+			x.refuseInput(404, "unknown path")
+			return
+		}
+		go func() {
+			text, err := x.s.Metrics()
+			x.s.Loop.Post(func() {
+				if err != nil {
+					x.answer(500, []byte(err.Error()+"\n"))
+				} else {
+					x.answer(200, text, http1.Field{Name: "Content-Type", Value: "text/plain; version=0.0.4"})
+				}
+			})
+		}()
 	case "/-/stats":
 		x.answer(200, []byte(x.s.Stats()+"\n"))
 	default:
--- a/internal/jobs/discovery.go
+++ b/internal/jobs/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"time"
 
 	"weldscale/decide"
@@ -241,7 +242,7 @@
 	d := x.d
 	x.drop()
 	if l == nil {
-		warn("worker list call failed", named(d.Service, "why", why)...)
+		slog.Warn("worker list call failed", named(d.Service, "why", why)...)
 		d.Engine.Announce(decide.ListFailed, nil)
 		return
 	}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -8,11 +8,9 @@
 import (
 	"bytes"
 	"encoding/json"
-	"log/slog"
 	"math"
 	"net/netip"
 	"strconv"
-	"sync"
 	"time"
 
 	"weldscale/decide"
@@ -116,27 +114,6 @@
 	once                    bool // it must never run twice
 }
 
-// warnings bounds how often each warning is logged: bad input must not fill the log, nor hide other faults.
-var warnings = struct {
-	sync.Mutex
-	next    map[string]time.Time
-	dropped map[string]int
-}{next: map[string]time.Time{}, dropped: map[string]int{}}
-
-// warn logs at most once a second for each text, with how many were left out since. The texts are constants.
-func warn(text string, args ...any) {
-	w := &warnings
-	w.Lock()
-	defer w.Unlock()
-	now := time.Now()
-	if now.Before(w.next[text]) {
-		w.dropped[text]++
-		return
-	}
-	slog.Warn(text, append(args, "unlogged", w.dropped[text])...)
-	w.next[text], w.dropped[text] = now.Add(time.Second), 0
-}
-
 // named puts the service's name before the other words of a log line, where it has one.
 func named(service string, args ...any) []any {
 	if service == "" {
--- a/internal/jobs/worker.go
+++ b/internal/jobs/worker.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"log/slog"
 	"slices"
 	"strconv"
 	"time"
@@ -206,7 +207,7 @@
 		return
 	}
 	x.w.Engine.Counts.SlowWorkers++
-	warn("slow worker cut off", named(x.w.Service, "worker", x.worker.Name, "request_sent", x.written)...)
+	slog.Warn("slow worker cut off", named(x.w.Service, "worker", x.worker.Name, "request_sent", x.written)...)
 	if x.written {
 		x.end(decide.Reset)
 	} else {
@@ -240,7 +241,7 @@
 		return
 	}
 	if err != nil {
-		warn("bad response", named(x.w.Service, "worker", x.worker.Name, "why", err)...)
+		slog.Warn("bad response", named(x.w.Service, "worker", x.worker.Name, "why", err)...)
 		x.end(decide.Reset)
 		return
 	}
@@ -318,7 +319,7 @@
 		Load   json.RawMessage `json:"load"`
 	}
 	if err := json.Unmarshal(line, &in); err != nil || in.ID != "" && in.ID != x.attempt.Request.Payload.(*call).id {
-		warn("bad line of a job", named(x.w.Service, "worker", x.worker.Name)...)
+		slog.Warn("bad line of a job", named(x.w.Service, "worker", x.worker.Name)...)
 		x.end(decide.Reset)
 		return
 	}
