A rehearsal emulator: the real decisions in simulated time, with troubles and a checker

Change: internal/emulator plays schedulers with the real decision module, boxes with queues, cold starts and collapse, a late list, noisy reports and clients, one event after the other; random numbers come from named streams. Scripts in HCL with nine kinds of trouble that may overlap, each fault with its place; nine scripts in deploy/rehearsals. The checker of the four rules reads the event log alone. weldscale rehearse plays them, also with plain policies to compare with.

--- a/cmd/weldscale/cli_test.go
+++ b/cmd/weldscale/cli_test.go
@@ -174,3 +174,29 @@
 	require.NoError(t, err)
 	assert.Equal(t, reference(), string(text), "run UPDATE_REFERENCE=1 go test ./cmd/weldscale -run Reference")
 }
+
+// An operator's file with a scheduler block is enough to start with.
+func TestFileAlone(t *testing.T) {
+	w := startWorker(t, standin.WorkerConfig{Name: "a"})
+	addr, file := freeAddr(t), filepath.Join(t.TempDir(), "w.hcl")
+	text := block("shop", "", w)
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	_, stderr, status := command(t, []string{"GW_CONFIG="}, "serve", "--config", file)
+	assert.Equal(t, 1, status)
+	assert.Contains(t, stderr, "no scheduler block to stand in for it")
+	require.NoError(t, os.WriteFile(file, []byte("scheduler {\n listen = \""+addr+"\"\n}\n"+text), 0o600))
+	cmd, log := program(t, "program", "GW_CONFIG=", "WELDSCALE_FILE="+file)
+	log.await(t, "serving")
+	b := &bench{t: t, addr: addr}
+	code, body, _ := b.to("shop.example.org", "/api/1", "1", "view", patience)
+	assert.Equal(t, 200, code)
+	assert.Equal(t, "made of 1", body)
+	code, _, _ = b.to("other.example.org", "/api/1", "2", "view", patience)
+	assert.Equal(t, 421, code)
+	resp, err := http.Get("http://" + addr + "/-/ready")
+	require.NoError(t, err)
+	resp.Body.Close()
+	assert.Equal(t, 200, resp.StatusCode)
+	require.NoError(t, cmd.Process.Signal(os.Interrupt))
+	assert.NoError(t, cmd.Wait())
+}
--- a/cmd/weldscale/config.go
+++ b/cmd/weldscale/config.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"slices"
@@ -12,6 +13,7 @@
 	"strings"
 	"time"
 
+	"weldscale/decide"
 	operator "weldscale/internal/config"
 	"weldscale/internal/engine"
 	"weldscale/internal/jobs"
@@ -169,3 +171,26 @@
 		return fmt.Sprint(v)
 	}
 }
+
+// nobody is a class that no request can name: where the operator's file stands alone, the platform's service is there
+// and has no workers, no route and no jobs.
+var nobody = decide.Settings{Nodes: 1, Zones: 1, MaxAttempts: 1, ColdFrom: 1, FallMultiple: 1, FallSpan: 1,
+	Classes: []decide.Class{{Aim: 1e6, Deadline: 1e6, Kind: -1}}}
+
+// fromFile makes a configuration of an operator's file alone, by its scheduler block.
+func fromFile(path string) (*config, error) {
+	f, err := operator.Read(path, 192<<20)
+	if err == nil && f.Scheduler != nil { // once more, for the memory that it has
+		f, err = operator.Read(path, f.Scheduler.MemoryMB<<20)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if f.Scheduler == nil {
+		return nil, fmt.Errorf("config: GW_CONFIG is not set, and %s has no scheduler block to stand in for it", path)
+	}
+	c := &config{Name: f.Scheduler.Name, Listen: f.Scheduler.Listen, Known: json.RawMessage("{}"), file: f,
+		engine: engine.Config{Settings: nobody, Seed: rand.Uint64()}, connectTimeout: time.Second, idleLimit: 10 * time.Second, reports: reports}
+	c.Limits.MemoryMB, c.Limits.Sockets = f.Scheduler.MemoryMB, f.Scheduler.Sockets
+	return c, nil
+}
--- a/cmd/weldscale/rules_test.go
+++ b/cmd/weldscale/rules_test.go
@@ -228,6 +228,13 @@
 		}
 		main()
 		os.Exit(0)
+	case "worker":
+		w, err := standin.StartWorker(standin.WorkerConfig{Name: "w", Slots: 1 << 20, TellsStart: true})
+		if err != nil {
+			os.Exit(1)
+		}
+		fmt.Fprintln(os.Stderr, "serving at", w.Addr(), "now")
+		select {}
 	case "proxy":
 		plainProxy()
 		os.Exit(1)
--- a/cmd/weldscale/serve.go
+++ b/cmd/weldscale/serve.go
@@ -42,6 +42,9 @@
 
 // read reads the platform's configuration and the operator's file.
 func (c serveCmd) read() (*config, error) {
+	if os.Getenv("GW_CONFIG") == "" && c.Config != "" {
+		return fromFile(c.Config)
+	}
 	conf, err := load(os.Getenv)
 	if err != nil {
 		return nil, err
@@ -142,6 +145,7 @@
 
 // start wires the parts and listens. Nothing is served before the loop runs.
 func start(c *config) (*scheduler, error) {
+	s := &scheduler{}
 	loop := engine.NewLoop()
 	e, err := engine.New(loop, c.engine)
 	if err != nil {
@@ -151,6 +155,7 @@
 	server := jobs.NewServer(jobs.NewService("", e, c.classes))
 	server.Pace = pace.New(c.file.SlowPeers)
 	driver.Accepted = server.Serve
+	server.Ready = func() bool { return e.Ready() || s.anyReady() }
 	driver.ShedIdle = server.MakeRoom
 	driver.Counted = func(dials, failed, shed int) {
 		e.Counts.Dials += dials
@@ -163,7 +168,7 @@
 	if err := discovery.Known(c.Known); err != nil {
 		return nil, err
 	}
-	s := &scheduler{c: c, loop: loop, e: e, driver: driver, server: server, workers: workers, discovery: discovery, clock: &pool.Clock{}}
+	*s = scheduler{c: c, loop: loop, e: e, driver: driver, server: server, workers: workers, discovery: discovery, clock: &pool.Clock{}}
 	server.Stats = func() string {
 		return fmt.Sprintf("%s %s goroutines=%d log_dropped=%d%s", &e.Counts, server.Pace.Counts(), runtime.NumGoroutine(),
 			logs.Dropped(), s.serviceStats())
--- a/cmd/weldscale/services.go
+++ b/cmd/weldscale/services.go
@@ -239,3 +239,13 @@
 	return fmt.Sprintf("service=%s open=%d begun=%d over_rate=%d over_open=%d over_bytes=%d over_shared=%d over_time=%d retries_denied=%d",
 		name, open, c.Begun, c.OverRate, c.OverOpen, c.OverBytes, c.OverShared, c.OverTime, c.RetriesDenied)
 }
+
+// anyReady reports whether a service that the operator's file names has had a worker to serve with.
+func (s *scheduler) anyReady() bool {
+	for _, v := range s.services {
+		if v.e.Ready() {
+			return true
+		}
+	}
+	return false
+}
--- a/cmd/weldscale/throughput_test.go
+++ b/cmd/weldscale/throughput_test.go
@@ -145,3 +145,21 @@
 		}
 	}
 }
+
+// What the load command's clients drive on two cores, against a stand-in worker in a process of its own.
+func BenchmarkLoad(b *testing.B) {
+	_, log := program(b, "worker")
+	log.await(b, "now")
+	addr := strings.Fields(log.text)[2]
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(2))
+	for _, clients := range []int{8, 64} {
+		b.Run(fmt.Sprint("clients=", clients), func(b *testing.B) {
+			for b.Loop() {
+				r := standin.Load{Target: addr, Seed: 1, For: 3 * time.Second, Clients: clients, Kinds: []standin.Kind{{Class: "view", Share: 1,
+					Budget: 5 * time.Second}}}.Run(context.Background())
+				b.ReportMetric(float64(r.Sent)/r.Took.Seconds(), "requests/s")
+				b.ReportMetric(float64(r.Broken), "broken")
+			}
+		})
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -33,11 +33,20 @@
 	Open      int // requests in hand of all services together; 0: a third of the descriptors
 	Services  []Service
 	Metrics   bool         // /-/metrics is there
+	Scheduler *Scheduler   // what the platform\'s configuration says where there is none
 	Control   string       // the path of the control socket; "": there is none
 	Platform  []route.Rule // of the service that the platform's configuration describes
 	Routes    *route.Table // of all; nil where there is no service block
 }
 
+// Scheduler is the scheduler block: it makes the file enough to start with.
+type Scheduler struct {
+	Name     string
+	Listen   string
+	MemoryMB int
+	Sockets  int
+}
+
 // Default is what holds without a file, for a scheduler of that much memory.
 func Default(memory int) File {
 	return File{SlowPeers: pace.Defaults(memory / 8), Workers: pace.Workers()}
@@ -112,11 +121,19 @@
 	Workers   *block          `hcl:"workers,block"`
 	Links     []*link         `hcl:"link,block"`
 	Platform  *platformBlock  `hcl:"platform,block"`
+	Scheduler *schedulerBlock `hcl:"scheduler,block"`
 	Control   *controlBlock   `hcl:"control,block"`
 	Metrics   *struct{}       `hcl:"metrics,block"`
 	Services  []*serviceBlock `hcl:"service,block"`
 }
 
+type schedulerBlock struct {
+	Name   hcl.Expression `hcl:"name,optional"`
+	Listen hcl.Expression `hcl:"listen"`
+	Memory hcl.Expression `hcl:"memory_mb,optional"`
+	Files  hcl.Expression `hcl:"sockets,optional"`
+}
+
 type controlBlock struct {
 	Socket hcl.Expression `hcl:"socket"`
 }
@@ -152,6 +169,14 @@
 		r.block("workers", l.Workers)
 		r.links(l.Links)
 		f.Metrics = l.Metrics != nil
+		if b := l.Scheduler; b != nil && !faults.HasErrors() {
+			f.Scheduler = &Scheduler{MemoryMB: 192, Sockets: 1024, Name: cmp.Or(r.text(b.Name, "a name"), "weldscale"), Listen: r.address(b.Listen)}
+			r.optional(b.Memory, count, 16, 1<<20, &f.Scheduler.MemoryMB)
+			r.optional(b.Files, count, 64, 1<<20, &f.Scheduler.Sockets)
+			if len(l.Services) == 0 {
+				r.fault(b.Listen.Range(), "a scheduler block without a service block: there would be nothing to serve")
+			}
+		}
 		if l.Control != nil && l.Control.Socket != nil {
 			f.Control = r.text(l.Control.Socket, "the path of a socket")
 			if f.Control != "" && (!filepath.IsAbs(f.Control) || len(f.Control) > maxSocket) {
--- /dev/null
+++ b/internal/emulator/emulator_test.go
@@ -0,0 +1,239 @@
+package emulator
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func script(t testing.TB, name, more string) *Script {
+	text, err := os.ReadFile("../../deploy/rehearsals/" + name + ".hcl")
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), name+".hcl")
+	require.NoError(t, os.WriteFile(path, append(text, more...), 0o600))
+	s, err := Read(path)
+	require.NoError(t, err)
+	return s
+}
+
+func play(t testing.TB, s *Script, seed uint64) (*Result, []byte) {
+	var log bytes.Buffer
+	x, err := New(s, seed, &log)
+	require.NoError(t, err)
+	r, err := x.Run(nil)
+	require.NoError(t, err)
+	return r, log.Bytes()
+}
+
+// Every script of the library keeps the rules, as the checker reads them from the log, and gives the same log again.
+func TestLibrary(t *testing.T) {
+	files, err := filepath.Glob("../../deploy/rehearsals/*.hcl")
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, len(files), 9)
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".hcl")
+		s := script(t, name, "")
+		r, log := play(t, s, 7)
+		found, err := Check(s, bytes.NewReader(log))
+		require.NoError(t, err, name)
+		assert.Empty(t, found, name)
+		assert.Greater(t, r.Tries, 1000, name)
+		assert.Greater(t, r.InTime, 0.3, name)
+		assert.Zero(t, r.Unserved, name)
+		_, again := play(t, s, 7)
+		assert.True(t, bytes.Equal(log, again), "%s: another log by the same seed", name)
+		_, other := play(t, s, 8)
+		assert.False(t, bytes.Equal(log, other), name)
+		t.Logf("%s: %.3f in time, %d late, %d refused, %d failed, %.2f probes a job, %d events", name, r.InTime, r.Late, r.Refused, r.Failed,
+			float64(r.Probes)/float64(r.Tries), r.Events)
+	}
+}
+
+// The plain policies play the same day: the same jobs come, and the one that sees the true state does best of them.
+func TestPlainPolicies(t *testing.T) {
+	s := script(t, "slow", "")
+	worth := map[string]float64{}
+	for _, policy := range Policies {
+		var log bytes.Buffer
+		x, err := NewWith(policy, s, 5, &log)
+		require.NoError(t, err)
+		r, err := x.Run(nil)
+		require.NoError(t, err)
+		worth[policy] = r.InTime
+		found, err := Check(s, &log)
+		require.NoError(t, err)
+		for _, f := range found { // they do nothing for cold boxes
+			assert.Contains(t, f, "cold workers spared", policy)
+		}
+	}
+	assert.Greater(t, worth["oracle"], worth["random"])
+	assert.Greater(t, worth["module"], worth["random"])
+	t.Log(worth)
+	_, err := NewWith("luck", s, 1, nil)
+	assert.ErrorContains(t, err, "no policy")
+}
+
+// A further box takes no random numbers from what was there: the same clients come with the same jobs.
+func TestStreamsAreIndependent(t *testing.T) {
+	arrivals := func(more string) (out []string) {
+		_, log := play(t, script(t, "calm", more), 3)
+		for line := range strings.Lines(string(log)) {
+			if strings.Contains(line, " arrive ") {
+				out = append(out, line)
+			}
+		}
+		return out
+	}
+	assert.Equal(t, arrivals(""), arrivals("box \"one-more\" {}\n"))
+}
+
+// A cold box that is sent more than it bears collapses, stays down, and the checker says so.
+func TestCollapse(t *testing.T) {
+	s := script(t, "calm", "")
+	x, err := New(s, 1, nil)
+	require.NoError(t, err)
+	var lines []string
+	x.logged = func(line string) { lines = append(lines, line) }
+	b := x.boxes[0]
+	b.restart()
+	n := x.nodes[0]
+	for i := range 100 {
+		q := &request{id: uint32(i + 1), node: n, try: &try{work: 2e6, slots: 1}}
+		n.requests[q.id] = q
+		b.land(&attempt{q: q, b: b, node: n})
+	}
+	assert.True(t, b.fallen)
+	assert.False(t, b.up())
+	assert.Contains(t, lines, "0 fall box=0")
+	found, err := Check(s, strings.NewReader(strings.Join(lines, "\n")))
+	require.NoError(t, err)
+	assert.Contains(t, found, "cold workers spared: 0 fall box=0")
+	b.began -= s.Warms
+	assert.False(t, b.up(), "it stays down though its time to warm is over")
+}
+
+// Two troubles on one box each undo only what they did.
+func TestTwoTroublesOnOneBox(t *testing.T) {
+	s := script(t, "calm", `
+trouble "slow" {
+  from  = "5s"
+  for   = "20s"
+  part  = 1
+  times = 3
+}
+trouble "slow" {
+  from  = "10s"
+  for   = "5s"
+  part  = 1
+  times = 4
+}
+trouble "vanish" {
+  from = "12s"
+  for  = "10s"
+  part = 1
+}
+trouble "zone_loss" {
+  from = "14s"
+  for  = "4s"
+  zone = "murun"
+}`)
+	x, err := New(s, 1, nil)
+	require.NoError(t, err)
+	var murun *box
+	for _, b := range x.boxes {
+		if s.Zones[b.zone] == "murun" {
+			murun = b
+		}
+	}
+	type state struct {
+		factors int
+		up      bool
+	}
+	seen := map[int]state{}
+	for _, at := range []int{4, 7, 11, 13, 17, 20, 23, 30} {
+		x.after(Time(at)*1e6, func() { seen[at] = state{len(murun.slow), murun.up()} })
+	}
+	_, err = x.Run(nil)
+	require.NoError(t, err)
+	assert.Equal(t, map[int]state{4: {0, true}, 7: {1, true}, 11: {2, true}, 13: {2, false}, 17: {1, false}, 20: {1, false},
+		23: {1, true}, 30: {0, true}}, seen)
+}
+
+// The checker finds each kind of broken rule in a log, whatever wrote it.
+func TestChecker(t *testing.T) {
+	s := script(t, "calm", "")
+	const arrive = "1 arrive 1 class=press-send node=0 give_up=25000000 again=0\n2 push 1.0 node=0 box=3\n"
+	for name, c := range map[string]struct{ log, want string }{
+		"kept":              {arrive + "9 outcome 1.0 served\n9 answer 1 served\n", ""},
+		"kept, again":       {arrive + "9 outcome 1.0 full\n10 push 1.1 node=0 box=2\n11 outcome 1.1 served\n11 answer 1 served\n", ""},
+		"no answer":         {arrive, "1 requests without an answer"},
+		"two answers":       {arrive + "9 answer 1 failed\n9 answer 1 failed\n", "a second answer"},
+		"late":              {arrive + "25050001 answer 1 failed\n", "after the client's time"},
+		"an answer to none": {"9 answer 4 failed\n", "an answer to none"},
+		"sent twice":        {arrive + "9 outcome 1.0 reset\n9 push 1.1 node=0 box=2\n10 answer 1 failed\n", "though it may have run"},
+		"two out":           {arrive + "9 push 1.1 node=0 box=2\n10 answer 1 failed\n", "two attempts out"},
+		"refused":           {arrive + "9 outcome 1.0 reset\n9 answer 1 refused\n", "refused though it may have run"},
+		"after the end":     {arrive + "9 answer 1 failed\n10 push 1.1 node=0 box=2\n", "a request that is over"},
+		"a drain":           {"0 told node=0 box=3 state=2\n400000" + arrive[1:strings.Index(arrive, "\n")+1] + "400000 push 1.0 node=0 box=3\n400001 answer 1 failed\n", "drains obeyed"},
+		"a drain, in time":  {"0 told node=0 box=3 state=2\n" + arrive + "9 answer 1 failed\n", ""},
+		"a fall":            {"0 fall box=2\n", "cold workers spared"},
+	} {
+		found, err := Check(s, strings.NewReader(c.log))
+		require.NoError(t, err, name)
+		if c.want == "" {
+			assert.Empty(t, found, name)
+			continue
+		}
+		assert.Contains(t, strings.Join(found, "\n"), c.want, name)
+	}
+	_, err := Check(s, strings.NewReader("nonsense\n"))
+	assert.Error(t, err)
+}
+
+// Every fault of a script is told with its place and what is allowed.
+func TestScriptFaults(t *testing.T) {
+	for text, want := range map[string]string{
+		`trouble "flood" {}`:                                       "no trouble \"flood\"; allowed: discovery_down, drain, flapping",
+		"trouble \"slow\" {\n  zone = \"murun\"\n}":                "trouble \"slow\" takes no zone",
+		"trouble \"slow\" {\n  from = \"61s\"\n}":                  "begins after the end",
+		"trouble \"slow\" {\n  times = 0\n}":                       "out of range; allowed is 1 to 1000",
+		"trouble \"zone_loss\" {\n  zone = \"khovd\"\n}":           "no zone \"khovd\"; there are: ulaanbaatar",
+		"trouble \"heavy_tail\" {\n  class = \"poster\"\n}":        "no class \"poster\"",
+		"class \"x\" {\n  effect = \"twice\"\n}":                   "effect must be one of keyed, once, safe",
+		"class \"x\" {\n  effect = \"safe\"\n  slots = \"1 b\"\n}": "\"b\" is no whole number",
+		"box \"x\" {\n  cores = 4\n}":                              "cores: no such setting; allowed: count, slots, queue, speed",
+		"box {}":                                                   "Missing name for box",
+	} {
+		calm, err := os.ReadFile("../../deploy/rehearsals/calm.hcl")
+		require.NoError(t, err)
+		path := filepath.Join(t.TempDir(), "s.hcl")
+		require.NoError(t, os.WriteFile(path, append(calm, text...), 0o600))
+		_, err = Read(path)
+		if assert.Error(t, err, text) {
+			assert.Contains(t, err.Error(), want)
+			assert.Regexp(t, `^\S+s\.hcl:\d+:\d+: `, err.Error())
+		}
+	}
+}
+
+func BenchmarkEvents(b *testing.B) {
+	s := script(b, "calm", "")
+	s.Rate *= 20
+	for _, k := range s.Boxes {
+		k.Count *= 20
+	}
+	events := uint64(0)
+	for b.Loop() {
+		x, err := New(s, 1, nil)
+		require.NoError(b, err)
+		r, err := x.Run(nil)
+		require.NoError(b, err)
+		events += r.Events
+	}
+	b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
+}
--- /dev/null
+++ b/internal/emulator/policy.go
@@ -0,0 +1,171 @@
+package emulator
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"weldscale/decide"
+)
+
+// This file owns the plain policies that the decision module is held against. They know only what a real one could, but
+// for the oracle, and keep the rules in the plainest way: nothing to a box that is told to drain or be gone, nothing
+// again that may have run unless it is safe, a refusal where no attempt is left.
+
+// dispatcher is what a node needs of a decision module; decide.Dispatcher is one.
+type dispatcher interface {
+	Announce(now Time, kind decide.ListKind, list []decide.Worker)
+	Arrive(now Time, in decide.Job)
+	Outcome(now Time, o decide.Outcome)
+	Note(now Time, id uint32, n int, kind decide.NoteKind, share float64)
+	ProbeResult(now Time, id decide.WorkerID, s decide.Status, latency Time, r decide.Report)
+	Wake(now Time, token uint64)
+}
+
+// Policies are the names of the policies; module is weldscale's own.
+var Policies = []string{"module", "random", "round_robin", "least_outstanding", "oracle"}
+
+// newDispatcher makes a node's decisions by the world's policy.
+func (x *World) newDispatcher(n *node, s decide.Settings, seed uint64) (dispatcher, error) {
+	switch x.Policy {
+	case "", "module":
+		return decide.New(s, seed, actions{n})
+	case "random", "round_robin", "least_outstanding", "oracle":
+		return &plain{x: x, s: s, act: actions{n}, rng: rand.New(rand.NewPCG(seed, 1)), ready: map[decide.WorkerID]bool{},
+			out: map[decide.WorkerID]int{}, jobs: map[uint32]*plainJob{}}, nil
+	}
+	return nil, fmt.Errorf("no policy %q", x.Policy)
+}
+
+type plainJob struct {
+	decide.Job
+	tries int
+	on    decide.WorkerID
+}
+
+// plain is one of the plain policies.
+type plain struct {
+	x     *World
+	s     decide.Settings
+	act   decide.Actions
+	rng   *rand.Rand
+	order []decide.WorkerID // in order of arrival
+	ready map[decide.WorkerID]bool
+	out   map[decide.WorkerID]int
+	jobs  map[uint32]*plainJob
+	turn  int
+}
+
+const plainTimeout = Time(1) << 60 // a job's own time ends first
+
+func (p *plain) Announce(_ Time, kind decide.ListKind, list []decide.Worker) {
+	if kind == decide.ListFull || kind == decide.ListCached {
+		clear(p.ready)
+	}
+	for _, w := range list {
+		if _, known := p.out[w.ID]; !known {
+			p.order = append(p.order, w.ID)
+			p.out[w.ID] = 0
+		}
+		p.ready[w.ID] = w.State == decide.Ready
+	}
+}
+
+func (p *plain) Arrive(now Time, in decide.Job) {
+	j := &plainJob{Job: in}
+	p.jobs[in.ID] = j
+	p.act.Wake(in.GiveUpAt-now-2*p.s.Tick, uint64(in.ID))
+	p.push(now, j)
+}
+
+func (p *plain) push(now Time, j *plainJob) {
+	w, ok := p.pick()
+	if !ok || j.tries >= p.s.MaxAttempts || now >= j.GiveUpAt-4*p.s.Tick {
+		p.end(j, true)
+		return
+	}
+	j.tries++
+	j.on = w
+	p.out[w]++
+	p.act.Push(j.ID, w, min(plainTimeout, j.GiveUpAt-now-p.s.Tick))
+}
+
+// pick chooses a box by the policy.
+func (p *plain) pick() (decide.WorkerID, bool) {
+	var all []decide.WorkerID
+	for _, w := range p.order {
+		if p.ready[w] {
+			all = append(all, w)
+		}
+	}
+	if len(all) == 0 {
+		return 0, false
+	}
+	p.turn++
+	best := all[p.rng.IntN(len(all))] // ties go by chance
+	switch p.x.Policy {
+	case "round_robin":
+		best = all[p.turn%len(all)]
+	case "least_outstanding":
+		for _, w := range all {
+			if p.out[w] < p.out[best] {
+				best = w
+			}
+		}
+	case "oracle":
+		load := func(w decide.WorkerID) float64 {
+			b := p.x.boxes[w-1]
+			if !b.up() {
+				return 1e9
+			}
+			waits := 0
+			for _, a := range b.queue {
+				waits += a.q.try.slots
+			}
+			return float64(b.running+waits+b.coming) / (float64(b.kind.Slots) * b.speed())
+		}
+		least := load(best)
+		for _, w := range all {
+			if v := load(w); v < least {
+				best, least = w, v
+			}
+		}
+	}
+	return best, true
+}
+
+func (p *plain) Outcome(now Time, o decide.Outcome) {
+	j := p.jobs[o.Job]
+	if j == nil {
+		return
+	}
+	p.out[o.Worker]--
+	switch {
+	case o.Closed:
+		delete(p.jobs, o.Job)
+	case o.Status.NeverRan() || p.s.Classes[j.Class].Effect == decide.Safe && o.Status != decide.TimedOut:
+		p.push(now, j)
+	default:
+		p.end(j, p.s.Classes[j.Class].Effect == decide.Safe)
+	}
+}
+
+func (p *plain) end(j *plainJob, harmless bool) {
+	delete(p.jobs, j.ID)
+	if harmless {
+		p.act.Refuse(j.ID, p.s.MaxRetry)
+	} else {
+		p.act.Fail(j.ID)
+	}
+}
+
+// Wake ends a job whose time is up.
+func (p *plain) Wake(_ Time, token uint64) {
+	if j := p.jobs[uint32(token)]; j != nil {
+		p.out[j.on]--
+		p.end(j, p.s.Classes[j.Class].Effect == decide.Safe)
+		p.act.Cancel(j.ID, j.tries-1)
+	}
+}
+
+func (p *plain) Note(Time, uint32, int, decide.NoteKind, float64)                      {}
+func (p *plain) ProbeResult(Time, decide.WorkerID, decide.Status, Time, decide.Report) {}
--- /dev/null
+++ b/internal/emulator/script.go
@@ -0,0 +1,254 @@
+package emulator
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/hashicorp/hcl/v2"
+
+	"weldscale/decide"
+	"weldscale/internal/config"
+)
+
+// This file owns the scripts: what a world is made of and what goes wrong in it, read from HCL.
+
+// Script is a world before it begins.
+type Script struct {
+	For        Time
+	Zones      []string
+	Schedulers int
+	Boxes      []*BoxKind
+	Classes    []Class
+	Rate       float64   // requests a second, of all
+	Curve      []float64 // the rate's course, points evenly spread over For
+	Retries    int       // of a client
+	RetryWait  Time
+
+	Same, Cross  Time // one way within a zone and between two
+	Jitter       float64
+	Notice       Time // how late the list tells, at least; half as much again at most
+	Refresh      Time // how long a load report stands
+	Noise        float64
+	ProbeTimeout Time
+	Cold         float64 // part of its capacity that a box has at its start
+	Warms        Time
+	FallMultiple float64
+	FallSpan     Time
+	DrainGrace   Time
+
+	Troubles []Trouble
+}
+
+// BoxKind is a kind of render box. Boxes are dealt round over the zones.
+type BoxKind struct {
+	Name  string
+	Count int
+	Slots int
+	Queue int
+	Speed float64
+}
+
+// Class is a class of jobs.
+type Class struct {
+	Name   string
+	Share  float64
+	Work   Time    // on the mean, on a slot of speed 1
+	Spread float64 // of the work, as a part of the mean
+	Slots  []int   // drawn evenly
+	Terms  decide.Class
+}
+
+// Trouble is something that goes wrong.
+type Trouble struct {
+	Kind     string
+	From, To Time
+	Part     float64 // of the boxes, or of the requests
+	Times    float64 // slower, or more work
+	Zone     string
+	Class    string
+	Pause    Time // of a box that stands still
+	Every    Time
+	Balancer bool // a zone is lost with its schedulers
+}
+
+// kinds are the troubles with what each takes beside its time.
+var kinds = map[string][]string{
+	"vanish":         {"part"},
+	"slow":           {"part", "times"},
+	"pauses":         {"part", "pause", "every"},
+	"heavy_tail":     {"part", "times", "class"},
+	"zone_loss":      {"zone", "with_schedulers"},
+	"drain":          {"part"},
+	"restart":        {"every"},
+	"discovery_down": {},
+	"flapping":       {"part", "every"},
+}
+
+// Settings are what a scheduler of that zone is told.
+func (s *Script) Settings(zone int) decide.Settings {
+	out := decide.Settings{Nodes: s.Schedulers, Zone: zone, Zones: len(s.Zones), CanProbe: true, CanCancel: true, MaxAttempts: 4,
+		MaxRetry: 2e6, DrainGrace: s.DrainGrace, ColdFrom: s.Cold, ColdSpan: s.Warms, FallMultiple: s.FallMultiple,
+		FallSpan: s.FallSpan, AnswerSlack: 16e3, Tick: 4e3, TellsStart: true, WorthByWork: true, PriceCross: 0.03}
+	for _, c := range s.Classes {
+		out.Classes = append(out.Classes, c.Terms)
+	}
+	return out
+}
+
+type layout struct {
+	World    *block     `hcl:"world,block"`
+	Boxes    []*labeled `hcl:"box,block"`
+	Classes  []*labeled `hcl:"class,block"`
+	Troubles []*labeled `hcl:"trouble,block"`
+}
+
+type block struct {
+	Body hcl.Body `hcl:",remain"`
+}
+
+type labeled struct {
+	Name string   `hcl:"name,label"`
+	Body hcl.Body `hcl:",remain"`
+}
+
+const (
+	ms     = 1e3
+	minute = 60e6
+)
+
+// Read reads a script. Its error has a line with the place for each fault.
+func Read(path string) (*Script, error) {
+	var l layout
+	r, err := config.Open(path, &l)
+	if err != nil {
+		return nil, err
+	}
+	if !r.Sound() {
+		return nil, r.Err()
+	}
+	s := &Script{For: minute, Schedulers: 5, Rate: 26, Curve: []float64{1}, RetryWait: 50 * ms, Same: 200, Cross: 6 * ms, Jitter: 0.2,
+		Notice: 1e6, Refresh: 60 * ms, Noise: 0.1, ProbeTimeout: 500 * ms, Cold: 0.3, Warms: 8.6e6, FallMultiple: 4, FallSpan: 1500 * ms,
+		DrainGrace: 300 * ms, Zones: []string{"here"}}
+	if l.World != nil {
+		zones, curve := "", ""
+		r.Fields(l.World.Body, config.Field{Name: "for", Unit: config.Span, Least: 1e6, Most: 60 * minute, To: &s.For},
+			config.Field{Name: "zones", Unit: config.Word, To: &zones}, config.Field{Name: "curve", Unit: config.Word, To: &curve},
+			config.Field{Name: "schedulers", Unit: config.Count, Least: 1, Most: 5000, To: &s.Schedulers},
+			config.Field{Name: "rate", Unit: config.Number, Least: 0.01, Most: 1e6, To: &s.Rate},
+			config.Field{Name: "retries", Unit: config.Count, Least: 0, Most: 10, To: &s.Retries},
+			config.Field{Name: "retry_wait", Unit: config.Span, Least: ms, Most: minute, To: &s.RetryWait},
+			config.Field{Name: "same", Unit: config.Span, Least: 1, Most: 1e6, To: &s.Same},
+			config.Field{Name: "cross", Unit: config.Span, Least: 1, Most: 1e6, To: &s.Cross},
+			config.Field{Name: "jitter", Unit: config.Number, Least: 0, Most: 10, To: &s.Jitter},
+			config.Field{Name: "notice", Unit: config.Span, Least: 0, Most: minute, To: &s.Notice},
+			config.Field{Name: "refresh", Unit: config.Span, Least: 0, Most: minute, To: &s.Refresh},
+			config.Field{Name: "noise", Unit: config.Number, Least: 0, Most: 1, To: &s.Noise},
+			config.Field{Name: "cold", Unit: config.Number, Least: 0.01, Most: 1, To: &s.Cold},
+			config.Field{Name: "warms", Unit: config.Span, Least: 0, Most: 10 * minute, To: &s.Warms})
+		if zones != "" {
+			s.Zones = strings.Fields(zones)
+		}
+		for _, word := range strings.Fields(curve) {
+			v, ok := number(word)
+			if !ok {
+				r.Fault(l.World.Body, "curve: %q is no number from 0 to 100; allowed are such, with spaces between", word)
+			}
+			s.Curve = append(s.Curve, v)
+		}
+		if curve != "" {
+			s.Curve = s.Curve[1:]
+		}
+	}
+	for _, b := range l.Boxes {
+		k := &BoxKind{Name: b.Name, Count: 1, Slots: 4, Queue: 24, Speed: 1}
+		r.Fields(b.Body, config.Field{Name: "count", Unit: config.Count, Least: 1, Most: 100000, To: &k.Count},
+			config.Field{Name: "slots", Unit: config.Count, Least: 1, Most: 1024, To: &k.Slots},
+			config.Field{Name: "queue", Unit: config.Count, Least: 0, Most: 100000, To: &k.Queue},
+			config.Field{Name: "speed", Unit: config.Number, Least: 0.001, Most: 1000, To: &k.Speed})
+		s.Boxes = append(s.Boxes, k)
+	}
+	s.classes(r, l.Classes)
+	s.troubles(r, l.Troubles)
+	if len(s.Boxes) == 0 || len(s.Classes) == 0 {
+		body := hcl.EmptyBody()
+		r.Fault(body, "a script needs a box block and a class block at least")
+	}
+	return s, r.Err()
+}
+
+func (s *Script) classes(r *config.Reader, list []*labeled) {
+	effects := map[string]decide.Effect{"safe": decide.Safe, "keyed": decide.Keyed, "once": decide.Unsafe}
+	names := map[string]bool{}
+	for _, b := range list {
+		c := Class{Name: b.Name, Share: 1, Work: 300 * ms, Spread: 1, Slots: []int{1}, Terms: decide.Class{Aim: 500 * ms, Stretch: 2,
+			Deadline: 10e6, Worth: 1, Kind: -1, MemorySpan: 12e6}}
+		effect, slots := "", ""
+		r.Fields(b.Body, config.Field{Name: "share", Unit: config.Number, Least: 0.001, Most: 1, To: &c.Share},
+			config.Field{Name: "work", Unit: config.Span, Least: ms, Most: 10 * minute, To: &c.Work},
+			config.Field{Name: "spread", Unit: config.Number, Least: 0, Most: 10, To: &c.Spread},
+			config.Field{Name: "slots", Unit: config.Word, To: &slots}, config.Field{Name: "effect", Unit: config.Word, To: &effect},
+			config.Field{Name: "aim", Unit: config.Span, Least: ms, Most: 10 * minute, To: &c.Terms.Aim},
+			config.Field{Name: "stretch", Unit: config.Number, Least: 0, Most: 100, To: &c.Terms.Stretch},
+			config.Field{Name: "deadline", Unit: config.Span, Least: 10 * ms, Most: 10 * minute, To: &c.Terms.Deadline},
+			config.Field{Name: "worth", Unit: config.Number, Least: 0.001, Most: 1e6, To: &c.Terms.Worth})
+		kind, ok := effects[effect]
+		if !ok {
+			r.Fault(b.Body, "class %q: effect must be one of keyed, once, safe", b.Name)
+		}
+		c.Terms.Effect = kind
+		if names[b.Name] {
+			r.Fault(b.Body, "class %q stands twice", b.Name)
+		}
+		names[b.Name] = true
+		if slots != "" {
+			c.Slots = nil
+			for _, word := range strings.Fields(slots) {
+				v, ok := number(word)
+				if !ok || v < 1 || v != float64(int(v)) {
+					r.Fault(b.Body, "class %q: slots: %q is no whole number; allowed are such from 1, with spaces between", b.Name, word)
+				}
+				c.Slots = append(c.Slots, max(1, int(v)))
+			}
+		}
+		s.Classes = append(s.Classes, c)
+	}
+}
+
+func (s *Script) troubles(r *config.Reader, list []*labeled) {
+	for _, b := range list {
+		t := Trouble{Kind: b.Name, Part: 0.2, Times: 5, Pause: 100 * ms, Every: 2e6}
+		var long Time = 10e6
+		with := ""
+		takes, ok := kinds[b.Name]
+		if !ok {
+			r.Fault(b.Body, "no trouble %q; allowed: %s", b.Name, strings.Join(slices.Sorted(maps.Keys(kinds)), ", "))
+			continue
+		}
+		set := r.Fields(b.Body, config.Field{Name: "from", Unit: config.Span, Least: 0, Most: 60 * minute, To: &t.From},
+			config.Field{Name: "for", Unit: config.Span, Least: ms, Most: 60 * minute, To: &long},
+			config.Field{Name: "part", Unit: config.Number, Least: 0.0001, Most: 1, To: &t.Part},
+			config.Field{Name: "times", Unit: config.Number, Least: 1, Most: 1000, To: &t.Times},
+			config.Field{Name: "zone", Unit: config.Word, To: &t.Zone}, config.Field{Name: "class", Unit: config.Word, To: &t.Class},
+			config.Field{Name: "pause", Unit: config.Span, Least: ms, Most: minute, To: &t.Pause},
+			config.Field{Name: "every", Unit: config.Span, Least: 10 * ms, Most: 10 * minute, To: &t.Every},
+			config.Field{Name: "with_schedulers", Unit: config.Word, To: &with})
+		for _, name := range slices.Sorted(maps.Keys(set)) {
+			if name != "from" && name != "for" && !slices.Contains(takes, name) {
+				r.Fault(b.Body, "trouble %q takes no %s; it takes from, for, %s", b.Name, name, strings.Join(takes, ", "))
+			}
+		}
+		t.To, t.Balancer = t.From+long, with == "yes"
+		switch {
+		case t.From >= s.For:
+			r.Fault(b.Body, "trouble %q begins after the end: the script plays for %d s", b.Name, s.For/1e6)
+		case with != "" && with != "yes" && with != "no":
+			r.Fault(b.Body, "trouble %q: with_schedulers: allowed is \"yes\" or \"no\"", b.Name)
+		case b.Name == "zone_loss" && !slices.Contains(s.Zones, t.Zone):
+			r.Fault(b.Body, "trouble %q: no zone %q; there are: %s", b.Name, t.Zone, strings.Join(s.Zones, ", "))
+		case t.Class != "" && !slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Name == t.Class }):
+			r.Fault(b.Body, "trouble %q: no class %q", b.Name, t.Class)
+		}
+		s.Troubles = append(s.Troubles, t)
+	}
+}
