--- /dev/null
+++ b/cmd/weldscale/experiment.go
@@ -0,0 +1,398 @@
+package main
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/jedib0t/go-pretty/v6/table"
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	settings "weldscale/internal/config"
+	"weldscale/internal/emulator"
+)
+
+// This file owns the experiment command: a matrix of scripts, sizes, ages of reports, policies and seeds, played over all
+// cores, each cell once whatever happens in between, and what can be said of the differences.
+
+// experimentCmd is the command.
+type experimentCmd struct {
+	File  string `arg:"" help:"The experiment, such as deploy/experiments/sizes.hcl." type:"existingfile" placeholder:"FILE"`
+	Out   string `help:"Where each cell's result is written as it is done; those that are there already are not played again. By default beside FILE, ending in .jsonl." placeholder:"FILE" type:"path"`
+	Plots string `help:"Write plots into this folder." placeholder:"DIR" type:"path"`
+}
+
+// matrix is what a file asks for.
+type matrix struct {
+	scripts    map[string]*emulator.Script
+	names      []string
+	policies   []string
+	scales     []float64
+	schedulers []float64
+	refresh    []float64 // ms
+	seeds      int
+}
+
+// cell is one run.
+type cell struct {
+	Script     string  `json:"script"`
+	Scale      float64 `json:"scale"`
+	Schedulers int     `json:"schedulers"`
+	RefreshMS  float64 `json:"refresh_ms"`
+	Policy     string  `json:"policy"`
+	Seed       uint64  `json:"seed"`
+}
+
+// outcome is a cell with its result.
+type outcome struct {
+	cell
+	Boxes  int     `json:"boxes"`
+	InTime float64 `json:"in_time"`
+	Probes float64 `json:"probes_a_job"`
+	Cross  float64 `json:"cross"`
+	Events uint64  `json:"events"`
+	Broken int     `json:"rules_broken"`
+	Took   float64 `json:"took_s"`
+}
+
+// readMatrix reads an experiment. Scripts are looked for beside it.
+func readMatrix(path string) (*matrix, error) {
+	var l struct {
+		Experiment *struct {
+			Body hcl.Body `hcl:",remain"`
+		} `hcl:"experiment,block"`
+	}
+	r, err := settings.Open(path, &l)
+	if err != nil {
+		return nil, err
+	}
+	if !r.Sound() {
+		return nil, r.Err()
+	}
+	if l.Experiment == nil {
+		return nil, fmt.Errorf("%s:1:1: an experiment block is missing", path)
+	}
+	m := &matrix{scripts: map[string]*emulator.Script{}, seeds: 3}
+	body := l.Experiment.Body
+	scripts, policies, scales, schedulers, refresh := "", "module", "1", "0", "0"
+	r.Fields(body, settings.Field{Name: "scripts", Unit: settings.Word, To: &scripts}, settings.Field{Name: "policies", Unit: settings.Word, To: &policies},
+		settings.Field{Name: "scale", Unit: settings.Word, To: &scales}, settings.Field{Name: "schedulers", Unit: settings.Word, To: &schedulers},
+		settings.Field{Name: "refresh_ms", Unit: settings.Word, To: &refresh},
+		settings.Field{Name: "seeds", Unit: settings.Count, Least: 1, Most: 1000, To: &m.seeds})
+	numbers := func(name, text string, most float64) (out []float64) {
+		for _, word := range strings.Fields(text) {
+			v, err := strconv.ParseFloat(word, 64)
+			if err != nil || !(v >= 0 && v <= most) {
+				r.Fault(body, "%s: %q; allowed are numbers from 0 to %g with spaces between", name, word, most)
+			}
+			out = append(out, v)
+		}
+		return out
+	}
+	m.scales, m.schedulers, m.refresh = numbers("scale", scales, 10000), numbers("schedulers", schedulers, 5000), numbers("refresh_ms", refresh, 60000)
+	for _, p := range strings.Fields(policies) {
+		if !slices.Contains(emulator.Policies, p) {
+			r.Fault(body, "policies: no %q; allowed: %s", p, strings.Join(emulator.Policies, ", "))
+		}
+		m.policies = append(m.policies, p)
+	}
+	var faults []error
+	for _, name := range strings.Fields(scripts) {
+		s, err := emulator.Read(filepath.Join(filepath.Dir(path), name))
+		if err != nil {
+			faults = append(faults, err)
+			continue
+		}
+		short := strings.TrimSuffix(filepath.Base(name), ".hcl")
+		m.scripts[short] = s
+		m.names = append(m.names, short)
+	}
+	if len(strings.Fields(scripts)) == 0 {
+		r.Fault(body, "scripts: allowed are paths from this file, with spaces between")
+	}
+	return m, errors.Join(r.Err(), errors.Join(faults...))
+}
+
+// cells lists the matrix, the small ones first.
+func (m *matrix) cells() (out []cell) {
+	for _, scale := range m.scales {
+		for _, schedulers := range m.schedulers {
+			for _, name := range m.names {
+				for _, refresh := range m.refresh {
+					for _, policy := range m.policies {
+						for seed := range m.seeds {
+							out = append(out, cell{name, scale, int(schedulers), refresh, policy, uint64(seed + 1)})
+						}
+					}
+				}
+			}
+		}
+	}
+	return out
+}
+
+// script is a cell's script: as many times the boxes and the rate, the schedulers and the age of reports where given.
+func (m *matrix) script(c cell) *emulator.Script {
+	s := *m.scripts[c.Script]
+	s.Boxes = nil
+	for _, k := range m.scripts[c.Script].Boxes {
+		grown := *k
+		grown.Count = max(1, int(float64(k.Count)*c.Scale+0.5))
+		s.Boxes = append(s.Boxes, &grown)
+	}
+	s.Rate *= c.Scale
+	if c.Schedulers > 0 {
+		s.Schedulers = c.Schedulers
+	}
+	if c.RefreshMS > 0 {
+		s.Refresh = emulator.Time(c.RefreshMS * 1000)
+	}
+	return &s
+}
+
+// Run implements the command.
+func (c experimentCmd) Run(ctx context.Context) error {
+	m, err := readMatrix(c.File)
+	if err != nil {
+		return err
+	}
+	path := cmp.Or(c.Out, strings.TrimSuffix(c.File, ".hcl")+".jsonl")
+	done, err := readOutcomes(path)
+	if err != nil {
+		return err
+	}
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_RDWR, 0o644)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := endLine(f); err != nil {
+		return err
+	}
+	var todo []cell
+	for _, x := range m.cells() {
+		if _, ok := done[x]; !ok {
+			todo = append(todo, x)
+		}
+	}
+	fmt.Printf("%d cells, %d of them done before\n", len(m.cells()), len(m.cells())-len(todo))
+	var mu sync.Mutex
+	var faults []error
+	var all sync.WaitGroup
+	next := make(chan cell)
+	for range runtime.GOMAXPROCS(0) {
+		all.Go(func() {
+			for x := range next {
+				o, err := m.play(x)
+				mu.Lock()
+				if err == nil {
+					done[x] = o
+					text, _ := json.Marshal(o)
+					_, err = f.Write(append(text, '\n'))
+				}
+				if err != nil {
+					faults = append(faults, err)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for _, x := range todo {
+		select {
+		case next <- x:
+		case <-ctx.Done():
+		}
+	}
+	close(next)
+	all.Wait()
+	if err := errors.Join(append(faults, ctx.Err())...); err != nil {
+		return err
+	}
+	rows := m.rows(done)
+	showRows(rows)
+	if c.Plots != "" {
+		return m.plots(rows, c.Plots)
+	}
+	return nil
+}
+
+// endLine ends the last line of a file where a stop has cut it short: the next one must not be written behind it.
+func endLine(f *os.File) error {
+	info, err := f.Stat()
+	if err != nil || info.Size() == 0 {
+		return err
+	}
+	last := make([]byte, 1)
+	if _, err := f.ReadAt(last, info.Size()-1); err != nil {
+		return err
+	}
+	if last[0] != '\n' {
+		_, err = f.Write([]byte("\n"))
+	}
+	return err
+}
+
+func readOutcomes(path string) (map[cell]outcome, error) {
+	done := map[cell]outcome{}
+	f, err := os.Open(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return done, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	lines := bufio.NewScanner(f)
+	for lines.Scan() {
+		var o outcome
+		if json.Unmarshal(lines.Bytes(), &o) == nil { // half a line is what a stop may leave: that cell is played again
+			done[o.cell] = o
+		}
+	}
+	return done, lines.Err()
+}
+
+// play plays a cell, with the checker beside it.
+func (m *matrix) play(c cell) (outcome, error) {
+	r := rehearsal{Script: c.Script, Policy: c.Policy, Seed: c.Seed}
+	s := m.script(c)
+	rehearseCmd{}.play(&r, s)
+	if r.err != nil {
+		return outcome{}, fmt.Errorf("%+v: %w", c, r.err)
+	}
+	boxes := 0
+	for _, k := range s.Boxes {
+		boxes += k.Count
+	}
+	return outcome{c, boxes, r.Result.InTime, float64(r.Result.Probes) / float64(max(1, r.Result.Tries)), r.Result.Cross, r.Result.Events,
+		len(r.Found), r.Took.Seconds()}, nil
+}
+
+// row is the cells that differ only by their seed.
+type row struct {
+	cell
+	boxes               int
+	mean, half          float64 // worth in time, with the half of its 95% interval
+	probes, cross, took float64
+	broken              int
+	less, lessHalf      float64 // what the module has more, pair by pair, where this is another policy
+}
+
+// interval is the mean and half the 95% interval of it, by Student's t.
+func interval(v []float64) (mean, half float64) {
+	mean = stat.Mean(v, nil)
+	if len(v) < 2 {
+		return mean, math.NaN()
+	}
+	t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(len(v) - 1)}
+	return mean, t.Quantile(0.975) * stat.StdDev(v, nil) / math.Sqrt(float64(len(v)))
+}
+
+func (m *matrix) rows(done map[cell]outcome) (out []row) {
+	for _, c := range m.cells() {
+		if c.Seed != 1 {
+			continue
+		}
+		r := row{cell: c}
+		var worth, less []float64
+		for seed := range m.seeds {
+			x := c
+			x.Seed = uint64(seed + 1)
+			o := done[x]
+			worth = append(worth, o.InTime)
+			r.boxes, r.probes, r.cross, r.took = o.Boxes, r.probes+o.Probes/float64(m.seeds), r.cross+o.Cross/float64(m.seeds), r.took+o.Took/float64(m.seeds)
+			r.broken += o.Broken
+			x.Policy = "module"
+			if own, ok := done[x]; ok && c.Policy != "module" {
+				less = append(less, own.InTime-o.InTime)
+			}
+		}
+		r.mean, r.half = interval(worth)
+		r.less, r.lessHalf = math.NaN(), math.NaN()
+		if len(less) > 0 {
+			r.less, r.lessHalf = interval(less)
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+func showRows(rows []row) {
+	out := table.NewWriter()
+	out.SetOutputMirror(os.Stdout)
+	out.SetStyle(table.StyleLight)
+	out.AppendHeader(table.Row{"script", "boxes", "schedulers", "reports ms", "policy", "worth in time", "module has more", "probes a job", "cross %",
+		"rules broken", "s a run"})
+	form := func(v, half float64) string {
+		switch {
+		case math.IsNaN(v):
+			return ""
+		case math.IsNaN(half):
+			return fmt.Sprintf("%.3f", v)
+		}
+		return fmt.Sprintf("%.3f ± %.3f", v, half)
+	}
+	for _, r := range rows {
+		out.AppendRow(table.Row{r.Script, r.boxes, r.Schedulers, r.RefreshMS, r.Policy, form(r.mean, r.half), form(r.less, r.lessHalf),
+			fmt.Sprintf("%.2f", r.probes), fmt.Sprintf("%.0f", 100*r.cross), r.broken, fmt.Sprintf("%.2f", r.took)})
+	}
+	out.Render()
+	fmt.Println("± is half of the 95% interval over the seeds. 0 schedulers or ms: as the script has it.")
+}
+
+// plots draws, for each script, the worth in time of each policy over what varies most: boxes, else the reports' age,
+// else the schedulers.
+func (m *matrix) plots(rows []row, dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	axis, at := "boxes", func(r row) float64 { return float64(r.boxes) }
+	if len(m.scales) < 2 && len(m.refresh) > 1 {
+		axis, at = "age of reports, ms", func(r row) float64 { return r.RefreshMS }
+	} else if len(m.scales) < 2 {
+		axis, at = "schedulers", func(r row) float64 { return float64(r.Schedulers) }
+	}
+	for _, name := range m.names {
+		p := plot.New()
+		p.Title.Text, p.X.Label.Text, p.Y.Label.Text = name, axis, "worth in time"
+		p.Y.Min, p.Y.Max = 0, 1
+		var lines []any
+		for _, policy := range m.policies {
+			var points plotter.XYs
+			for _, r := range rows {
+				if r.Script == name && r.Policy == policy && r.Schedulers == int(m.schedulers[len(m.schedulers)-1]) || axis == "schedulers" && r.Script == name && r.Policy == policy {
+					points = append(points, plotter.XY{X: at(r), Y: r.mean})
+				}
+			}
+			lines = append(lines, policy, points)
+		}
+		if err := plotutil.AddLinePoints(p, lines...); err != nil {
+			return err
+		}
+		if axis != "schedulers" {
+			p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+		}
+		p.Legend.Top = false
+		if err := p.Save(16*vg.Centimeter, 10*vg.Centimeter, filepath.Join(dir, name+".png")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/weldscale/main.go
+++ b/cmd/weldscale/main.go
@@ -22,15 +22,16 @@
 	LogLevel  string `help:"What the log holds: debug, info, warn or error." enum:"debug,info,warn,error" default:"info"`
 	LogFormat string `help:"auto is text on a terminal and json elsewhere." enum:"auto,text,json" default:"auto"`
 
-	Serve    serveCmd    `cmd:"" default:"withargs" help:"Serve, by the configuration that GW_CONFIG names; what runs where no command is given."`
-	Check    checkCmd    `cmd:"" help:"Read a file as serve would, and say what holds, or every fault."`
-	Demo     demoCmd     `cmd:"" help:"Play a scheduler with workers, troubles and clients on this machine, and show how it went."`
-	Rehearse rehearseCmd `cmd:"" help:"Play scripts of a fleet and its troubles in simulated time, and show what came of them."`
-	Load     loadCmd     `cmd:"" help:"Drive a running scheduler with jobs, and show how they ended."`
-	Stats    statsCmd    `cmd:"" help:"Print the counters of a running scheduler."`
-	Reload   reloadCmd   `cmd:"" help:"Have a running scheduler read its files anew; says what is wrong with them."`
-	Drain    drainCmd    `cmd:"" help:"Have a running scheduler answer what it has and end."`
-	Level    levelCmd    `cmd:"" help:"Change the log level of a running scheduler."`
+	Serve      serveCmd      `cmd:"" default:"withargs" help:"Serve, by the configuration that GW_CONFIG names; what runs where no command is given."`
+	Check      checkCmd      `cmd:"" help:"Read a file as serve would, and say what holds, or every fault."`
+	Demo       demoCmd       `cmd:"" help:"Play a scheduler with workers, troubles and clients on this machine, and show how it went."`
+	Rehearse   rehearseCmd   `cmd:"" help:"Play scripts of a fleet and its troubles in simulated time, and show what came of them."`
+	Experiment experimentCmd `cmd:"" help:"Play a matrix of scripts, sizes, policies and seeds over all cores, and compare."`
+	Load       loadCmd       `cmd:"" help:"Drive a running scheduler with jobs, and show how they ended."`
+	Stats      statsCmd      `cmd:"" help:"Print the counters of a running scheduler."`
+	Reload     reloadCmd     `cmd:"" help:"Have a running scheduler read its files anew; says what is wrong with them."`
+	Drain      drainCmd      `cmd:"" help:"Have a running scheduler answer what it has and end."`
+	Level      levelCmd      `cmd:"" help:"Change the log level of a running scheduler."`
 
 	Reference  referenceCmd                 `cmd:"" hidden:"" help:"Print the reference page."`
 	Version    versionCmd                   `cmd:"" help:"Print the version."`
--- a/cmd/weldscale/reference.go
+++ b/cmd/weldscale/reference.go
@@ -25,7 +25,7 @@
 	return nil
 }
 
-func cell(s string) string { return strings.ReplaceAll(strings.TrimSpace(s), "|", "\\|") }
+func tableCell(s string) string { return strings.ReplaceAll(strings.TrimSpace(s), "|", "\\|") }
 
 // reference is the page in Markdown.
 func reference() string {
@@ -38,7 +38,7 @@
 		}
 		b.WriteString("\n| flag | default | |\n| --- | --- | --- |\n")
 		for _, f := range list {
-			fmt.Fprintf(&b, "| `--%s` | %s | %s |\n", f.Name, cell(f.Default), cell(f.Help))
+			fmt.Fprintf(&b, "| `--%s` | %s | %s |\n", f.Name, tableCell(f.Default), tableCell(f.Help))
 		}
 	}
 	b.WriteString("\n### every command\n")
@@ -53,7 +53,7 @@
 		}
 		fmt.Fprintf(&b, "`\n\n%s\n", n.Help)
 		for _, p := range n.Positional {
-			fmt.Fprintf(&b, "- `%s`: %s\n", strings.ToUpper(p.Name), cell(p.Help))
+			fmt.Fprintf(&b, "- `%s`: %s\n", strings.ToUpper(p.Name), tableCell(p.Help))
 		}
 		flags(n.Flags)
 	}
@@ -62,7 +62,7 @@
 		"the control socket, `metrics {}` the path `/-/metrics`, `link NAME { prefixes, least_rate }` is a known slow line.\n\n" +
 		"| setting | unit | default | allowed | |\n| --- | --- | --- | --- | --- |\n")
 	for _, s := range operator.Settings {
-		fmt.Fprintf(&b, "| `%s.%s` | %s | %s | %s | %s |\n", s.Block, s.Name, s.Unit, s.Default(192<<20), s.Allowed(), cell(s.Doc))
+		fmt.Fprintf(&b, "| `%s.%s` | %s | %s | %s | %s |\n", s.Block, s.Name, s.Unit, s.Default(192<<20), s.Allowed(), tableCell(s.Doc))
 	}
 	b.WriteString("\n## Environment\n\n`GW_CONFIG` names the platform's configuration; `GW_NAME`, `GW_LISTEN` and `GW_DISCOVERY` stand in " +
 		"for what it leaves out.\n\n## Counters\n\nOf `/-/stats`; what they mean: [ONCALL.md](ONCALL.md), [SLOW_PEERS.md](SLOW_PEERS.md), " +
