A bound on each service's connections to workers

Change: a service dials on an account of its own, with connections = N in its block. At the bound an idle connection of its own makes room, else the dial waits until one ends: to fail it would be held against a worker without a part in it. Off unless the operator's file says so.

--- a/cmd/weldscale/services.go
+++ b/cmd/weldscale/services.go
@@ -13,6 +13,7 @@
 	"weldscale/internal/engine"
 	"weldscale/internal/jobs"
 	"weldscale/internal/member"
+	"weldscale/internal/net"
 	"weldscale/internal/pool"
 	"weldscale/internal/route"
 )
@@ -27,6 +28,7 @@
 	e     *engine.Engine
 	share *pool.Share
 	lane  *pool.Lane
+	dials *net.Dialer    // of its connections to workers
 	list  *member.Static // of workers that the file names itself
 	stop  func()         // of its membership
 }
@@ -51,8 +53,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("service %q: %w", conf.Name, err)
 	}
-	v := &service{conf: conf, e: e, jobs: jobs.NewService(conf.Name, e, conf.ClassNames()), stop: func() {}}
-	workers := &jobs.Workers{Engine: e, Dialer: s.driver, Reports: reports, Host: conf.Name, Service: conf.Name, Pace: s.c.file.Workers}
+	dials := s.driver.Dialer(conf.Connections)
+	v := &service{conf: conf, e: e, dials: dials, jobs: jobs.NewService(conf.Name, e, conf.ClassNames()), stop: func() {}}
+	workers := &jobs.Workers{Engine: e, Dialer: dials, Reports: reports, Host: conf.Name, Service: conf.Name, Pace: s.c.file.Workers}
 	switch {
 	case conf.Discovery != "":
 		d := &jobs.Discovery{Engine: e, Dialer: s.driver, Addr: conf.Discovery, Service: conf.Name}
@@ -153,6 +156,7 @@
 		v.jobs.Pool.SetLimits(conf.Limits, conf.ClassLimits())
 		v.share.Reserve(conf.Reserve)
 		v.lane.SetWeight(conf.Weight)
+		v.dials.SetLimit(conf.Connections)
 		if conf.File == "" && conf.Discovery == "" && !slices.Equal(conf.Workers, v.conf.Workers) {
 			v.list.Set(entries(conf))
 		}
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -24,7 +24,9 @@
 	Name    string
 	Weight  float64 // its part of the loop's time
 	Reserve int     // requests in hand that no other service can take from it
-	Rules   []route.Rule
+	// Connections bounds those to its workers; 0: as many as the descriptors allow.
+	Connections int
+	Rules       []route.Rule
 	// One of these names its workers: the address of a discovery service, a file in discovery's list form that is
 	// watched, or the workers themselves.
 	Discovery, File string
@@ -44,13 +46,14 @@
 }
 
 type serviceBlock struct {
-	Name    string         `hcl:"name,label"`
-	Weight  hcl.Expression `hcl:"weight,optional"`
-	Reserve hcl.Expression `hcl:"reserve,optional"`
-	Match   []*matchBlock  `hcl:"match,block"`
-	Workers *workersBlock  `hcl:"workers,block"`
-	Limits  *block         `hcl:"limits,block"`
-	Classes []*classBlock  `hcl:"class,block"`
+	Name        string         `hcl:"name,label"`
+	Weight      hcl.Expression `hcl:"weight,optional"`
+	Reserve     hcl.Expression `hcl:"reserve,optional"`
+	Connections hcl.Expression `hcl:"connections,optional"`
+	Match       []*matchBlock  `hcl:"match,block"`
+	Workers     *workersBlock  `hcl:"workers,block"`
+	Limits      *block         `hcl:"limits,block"`
+	Classes     []*classBlock  `hcl:"class,block"`
 }
 
 type matchBlock struct {
@@ -109,6 +112,7 @@
 		s := Service{Name: b.Name, Weight: 1}
 		r.optional(b.Weight, rate0, 0.001, 1e6, &s.Weight)
 		r.optional(b.Reserve, count, 0, 1<<20, &s.Reserve)
+		r.optional(b.Connections, count, 4, 1<<20, &s.Connections)
 		if s.Rules = r.rules(b.Name, b.Match); len(b.Match) == 0 {
 			r.fault(at, "service %q has no match block: nothing would ever go there", b.Name)
 		}
--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -51,6 +51,7 @@
 	c      Config
 	hosts  map[string]*host
 	idle   []*Conn // idle connections to workers, the longest idle first
+	own    account // of what is dialled on no service's account
 	open   atomic.Int64
 	room   atomic.Int64 // descriptors for connections
 	ln     netpoll.Listener
@@ -74,8 +75,56 @@
 }
 
 type waiter struct {
-	fresh bool // takes only the connection dialled for it
-	ready func(jobs.Conn)
+	fresh   bool // takes only the connection dialled for it
+	ready   func(jobs.Conn)
+	account *account
+}
+
+// account counts the connections that were dialled for one service, and bounds them: what a service in trouble holds open
+// must not be what its neighbours need.
+type account struct {
+	limit   atomic.Int64 // 0: none but the driver's
+	open    atomic.Int64
+	pending []func() // dials that wait until one of its connections ends; the loop's
+}
+
+// full reports whether the account bears no further connection.
+func (a *account) full() bool {
+	limit := a.limit.Load()
+	return limit > 0 && a.open.Load() >= limit
+}
+
+// next goes on with dials that wait, as far as the account bears them. Only for code on the loop.
+func (a *account) next() {
+	for len(a.pending) > 0 && !a.full() {
+		dial := a.pending[0]
+		a.pending = a.pending[1:]
+		dial()
+	}
+}
+
+// Dialer is the driver's dialling on one service's account.
+type Dialer struct {
+	*Driver
+	account account
+}
+
+// Dialer returns a dialler that holds no more than so many connections; 0: as many as the driver bears.
+func (d *Driver) Dialer(limit int) *Dialer {
+	out := &Dialer{Driver: d}
+	out.SetLimit(limit)
+	return out
+}
+
+// SetLimit changes the bound; what is open stays open.
+func (d *Dialer) SetLimit(n int) { d.account.limit.Store(int64(n)) }
+
+// Open is how many connections are on the account.
+func (d *Dialer) Open() int { return int(d.account.open.Load()) }
+
+// Get implements jobs.Dialer.
+func (d *Dialer) Get(addr string, fresh bool, ready func(jobs.Conn)) (giveUp func()) {
+	return d.get(addr, fresh, ready, &d.account)
 }
 
 var configure sync.Once
@@ -121,6 +170,7 @@
 	nc      netpoll.Connection
 	handler jobs.Handler
 	host    *host         // of a connection to a worker
+	account *account      // of the service that it was dialled for
 	retire  *engine.Timer // of an idle one
 	closed  atomic.Bool   // by us
 	deaf    atomic.Bool   // nothing that comes counts any more
@@ -202,6 +252,11 @@
 			c.released = true
 			c.mu.Unlock()
 			c.d.open.Add(-1)
+			if a := c.account; a != nil {
+				if a.open.Add(-1); a.limit.Load() > 0 {
+					go c.d.loop.Post(a.next) // this may be the loop, which must not wait for itself
+				}
+			}
 			if c.closed.Load() {
 				return
 			}
@@ -309,6 +364,10 @@
 
 // Get implements jobs.Dialer.
 func (d *Driver) Get(addr string, fresh bool, ready func(jobs.Conn)) (giveUp func()) {
+	return d.get(addr, fresh, ready, &d.own)
+}
+
+func (d *Driver) get(addr string, fresh bool, ready func(jobs.Conn), acc *account) (giveUp func()) {
 	h := d.host(addr)
 	if n := len(h.idle); n > 0 && !fresh {
 		c := h.idle[n-1]
@@ -316,7 +375,7 @@
 		ready(c)
 		return func() {}
 	}
-	w := &waiter{fresh, ready}
+	w := &waiter{fresh, ready, acc}
 	h.waiting = append(h.waiting, w)
 	d.dial(h, w)
 	return func() { h.leave(w) }
@@ -351,11 +410,27 @@
 		d.loop.After(0, func() { d.dialled(h, w, nil) })
 		return
 	}
+	if w.account.full() {
+		// One that sits idle elsewhere makes room; else it waits. To fail it would be held against the worker.
+		if i := slices.IndexFunc(d.idle, func(c *Conn) bool { return c.account == w.account }); i >= 0 {
+			d.idle[i].Close()
+		}
+	}
+	if w.account.full() {
+		w.account.pending = append(w.account.pending, func() {
+			if slices.Contains(h.waiting, w) { // not given up meanwhile
+				d.dial(h, w)
+			}
+		})
+		return
+	}
 	d.open.Add(1)
+	w.account.open.Add(1)
 	go func() {
 		nc, err := netpoll.DialConnection("tcp", h.addr, d.c.ConnectTimeout)
 		if err != nil {
 			d.open.Add(-1)
+			w.account.open.Add(-1)
 			nc = nil
 		}
 		d.loop.Post(func() { d.dialled(h, w, nc) })
@@ -373,7 +448,7 @@
 		return
 	}
 	d.Counted(1, 0, 0)
-	c := &Conn{d: d, nc: nc, handler: discard{}, leaving: make(chan struct{}), host: h}
+	c := &Conn{d: d, nc: nc, handler: discard{}, leaving: make(chan struct{}), host: h, account: w.account}
 	c.wire()
 	if w != nil && w.fresh && h.leave(w) {
 		w.ready(c)
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -307,3 +307,36 @@
 	<-g.dead
 	g.do(func() { assert.Equal(t, readers-1, g.d.Unsent()) })
 }
+
+// What one account holds open is bounded, and is given back with its connections; others are not touched by it.
+func TestAccountOfAService(t *testing.T) {
+	addr, conns := peer(t)
+	g := newRig(t, Config{Descriptors: 1024, IdleLimit: time.Hour})
+	d, other := g.d.Dialer(2), g.d.Dialer(0)
+	get := func(d jobs.Dialer) jobs.Conn {
+		got := make(chan jobs.Conn, 1)
+		g.do(func() { d.Get(addr, true, func(c jobs.Conn) { got <- c }) })
+		return <-got
+	}
+	first, second := get(d), get(d)
+	require.NotNil(t, first)
+	require.NotNil(t, second)
+	third, gone := make(chan jobs.Conn, 1), make(chan jobs.Conn, 1)
+	g.do(func() {
+		giveUp := d.Get(addr, true, func(c jobs.Conn) { gone <- c })
+		d.Get(addr, true, func(c jobs.Conn) { third <- c })
+		giveUp()
+	})
+	assert.NotNil(t, get(other), "another's account")
+	assert.Equal(t, 2, d.Open())
+	assert.Empty(t, third, "it waits")
+	g.do(first.Close)
+	assert.NotNil(t, <-third)
+	g.do(func() { d.Put(addr, second) })
+	assert.NotNil(t, get(d), "the idle one makes room")
+	assert.Empty(t, gone)
+	for range 5 {
+		(<-conns).Close()
+	}
+	require.Eventually(t, func() bool { return d.Open() == 0 }, patience, time.Millisecond)
+}
