List calls take turns across the fleet; room at a worker is bounded by its jobs in flight

At fault: Discovery.Watch and listCall.end, which called at once, and no part of it knew of the other schedulers.

All 25 of four slots pushed beside one job in flight (free slots 3 told as 3.5 to 4), and nearly all beside 'three free, four or more in flight': a wide job blocks the queue and every scheduler goes on pushing behind it. At fault: room, which knew a worker's size only once it saw it idle (999 of 1,863 did not) and never looked at jobs in flight.

At fault: the budget in admit.

--- a/cmd/weldscale/serve.go
+++ b/cmd/weldscale/serve.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"reflect"
@@ -162,7 +163,8 @@
 		e.Counts.DialsFailed += failed
 		e.Counts.Shed += shed
 	}
-	discovery := &jobs.Discovery{Engine: e, Dialer: driver, Addr: c.Discovery}
+	discovery := &jobs.Discovery{Engine: e, Dialer: driver, Addr: c.Discovery, Rand: rand.New(rand.NewPCG(c.engine.Seed, 1)),
+		Cadence: jobs.Cadence{Nodes: c.engine.Settings.Nodes, Ask: time.Duration(c.engine.Settings.AskWithin) * time.Microsecond}}
 	workers := &jobs.Workers{Engine: e, Dialer: driver, Reports: c.reports, Host: "app.svc", Pace: c.file.Workers}
 	e.Use(workers, discovery)
 	if err := discovery.Known(c.Known); err != nil {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -243,7 +243,7 @@
 	bear := d.bear / 1e6
 	w.credit += coldShare * warmth * bear * float64(d.now-w.creditAt)
 	w.creditAt = d.now
-	budget := d.s.FallMultiple * warmth * bear * float64(d.s.Nodes) * float64(d.s.FallSpan)
+	budget := d.s.FallMultiple * warmth * d.carries(w) * float64(d.s.FallSpan)
 	if float64(j.work)*j.Slots > coldJob*budget {
 		return false
 	}
@@ -341,8 +341,13 @@
 // room takes our own pushes that the report can't show yet off what it shows, and tells whether j fits.
 // A worker's own queue is blind, so a job without room waits here, where the next draw may do better.
 func (d *Dispatcher) room(j *job, w *worker, r Report) (Report, bool) {
-	if r.Has&HasInFlight != 0 && r.InFlight == 0 { // noise does not make nothing into something
+	// More jobs than slots taken: one too wide blocks the rest. Nor does noise make room for one beside another.
+	if size := d.sizeOf(w); r.Has&HasInFlight != 0 && r.InFlight == 0 {
 		r.FreeSlots = max(r.FreeSlots, w.size)
+	} else if size > 0 && r.InFlight > size-r.FreeSlots+sizeNoise {
+		r.FreeSlots = 0
+	} else if size > 0 && r.Has&HasInFlight != 0 {
+		r.FreeSlots = min(r.FreeSlots, size-r.InFlight)
 	}
 	keep, shown := w.recent[:0], r.FreeSlots
 	for _, c := range w.recent {
@@ -644,12 +649,7 @@
 		d.lag = min(Time(d.looked/d.changed), lagMost)
 	}
 	w.shown, w.shownAt, w.shownOut = r, d.now, w.out
-	if r.Has&HasInFlight != 0 && r.Has&HasFreeSlots != 0 && r.InFlight == 0 { // idle: all its slots are free
-		if w.size == 0 {
-			w.size = r.FreeSlots
-		}
-		w.size += learnRate * (r.FreeSlots - w.size)
-	}
+	d.learnSize(w, r)
 }
 
 // onTime ends the wait for a start note, and what was held against the worker for it.
--- a/decide/failures_test.go
+++ b/decide/failures_test.go
@@ -592,3 +592,49 @@
 		}
 	}
 }
+
+// Where free slots are told with noise, three of four once passed for four: of 25 jobs of four slots that were pushed
+// beside one in flight none started, and each kept the slots beside it idle. Nodes that had no job there went on
+// pushing into that queue, since free slots were shown. A worker not seen idle yet goes by its kind.
+func TestRoomBesideJobsInFlight(t *testing.T) {
+	for name, c := range map[string]struct {
+		size, kind, need, shown, inFlight float64
+		fits                              bool
+	}{
+		"all of four, none there":        {4, 0, 4, 3.6, 0, true},
+		"all of four, one there":         {4, 0, 4, 3.9, 1, false},
+		"the same, by its kind":          {0, 4, 4, 3.9, 1, false},
+		"the same, nothing known":        {0, 0, 4, 3.9, 1, true},
+		"four of five, one there":        {5, 0, 4, 4.1, 1, true},
+		"two slots taken by two":         {4, 0, 1, 2.1, 2, true},
+		"two slots taken, two more wait": {4, 0, 1, 2.1, 4.1, false},
+		"one slot taken by two, noise":   {4, 0, 1, 3, 1.6, true},
+	} {
+		d, _ := newNode(t, testSettings(), fleet(2)...)
+		w := d.workers[1]
+		w.size, d.sizes[w.Kind] = c.size, c.kind
+		load := Report{Has: HasFreeSlots | HasInFlight, FreeSlots: c.shown, InFlight: c.inFlight}
+		if _, fits := d.room(&job{Job: Job{Slots: c.need}}, w, load); fits != c.fits {
+			t.Errorf("%s: fits %v", name, fits)
+		}
+	}
+}
+
+// One scheduler's part of the traffic says little: a heavy job of its own once had it believe that workers carry three
+// times what they do, and a job of 11 s of work pushed a cold one over by itself.
+func TestColdWorkerGetsNoJobThatPushesItOver(t *testing.T) {
+	for name, c := range map[string]struct {
+		bear, size float64
+		admit      bool
+	}{"as its slots bear it": {3e6, 0, true}, "beyond its slots": {3e6, 4, false}, "nothing sent so far": {0, 4, false}} {
+		s := testSettings()
+		s.Nodes = 80
+		d, _ := newNode(t, s, fleet(2)...)
+		w := d.workers[1]
+		w.StartedAt, w.creditAt, w.size, d.bear = d.now-s.ColdSpan/2, d.now, c.size, c.bear
+		w.credit = 1e9
+		if got := d.admit(&job{Job: Job{Slots: 4}, work: 2800 * ms}, w); got != c.admit {
+			t.Errorf("%s: admitted %v", name, got)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -111,13 +111,14 @@
 	tokens          []float64 // requests left in each tenant's share
 	tokenAt         []Time
 	message         [8]byte
-	lag             Time      // how long a report stands, on the mean
-	looked, changed float64   // the looks behind it
-	usual           []float64 // median time of a probe, by zone
-	canTry          bool      // some class may be repeated
-	price           float64   // what a second of work must be worth to get a contended slot for sure
-	busy            float64   // share of draws that found no room, lately
-	cheapest        float64   // the least value of a job seen
+	lag             Time            // how long a report stands, on the mean
+	looked, changed float64         // the looks behind it
+	usual           []float64       // median time of a probe, by zone
+	sizes           map[int]float64 // slots of a worker on the mean, by kind
+	canTry          bool            // some class may be repeated
+	price           float64         // what a second of work must be worth to get a contended slot for sure
+	busy            float64         // share of draws that found no room, lately
+	cheapest        float64         // the least value of a job seen
 	watched         bool
 	askedAt         Time
 	asks            int // calls failed in a row
@@ -133,6 +134,7 @@
 		tokens: make([]float64, len(s.Tenants)), tokenAt: make([]Time, len(s.Tenants))}
 	d.lag, d.looked, d.changed = reportLag, float64(reportLag), 1
 	d.price, d.run = 1e-9, float64(usualRun)
+	d.sizes = map[int]float64{}
 	d.usual = make([]float64, max(1, s.Zones))
 	for i, c := range s.Classes {
 		d.runs[i] = float64(c.Aim) // a guess until the first run is seen
@@ -207,6 +209,40 @@
 	d.listed = keep
 }
 
+// learnSize takes in what an idle worker shows: all its slots are free.
+func (d *Dispatcher) learnSize(w *worker, r Report) {
+	if r.Has&HasInFlight == 0 || r.Has&HasFreeSlots == 0 || r.InFlight != 0 {
+		return
+	}
+	if w.size == 0 {
+		w.size = r.FreeSlots
+	}
+	w.size += learnRate * (r.FreeSlots - w.size)
+	if d.sizes[w.Kind] == 0 {
+		d.sizes[w.Kind] = w.size
+	}
+	d.sizes[w.Kind] += learnRate * (w.size - d.sizes[w.Kind])
+}
+
+// sizeOf is how many slots w has, or its kind where it was not seen idle yet: many schedulers meet a worker seldom. 0: not
+// known.
+func (d *Dispatcher) sizeOf(w *worker) float64 {
+	if w.size > 0 {
+		return w.size
+	}
+	return d.sizes[w.Kind]
+}
+
+// carries is how much work a second a warm worker like w is sure to do: what all schedulers send to one, as far as this
+// one's part tells, but with few jobs of its own that says little, so no more than its slots at the speed of one core.
+func (d *Dispatcher) carries(w *worker) float64 {
+	sent := d.bear / 1e6 * float64(d.s.Nodes)
+	if size := d.sizeOf(w); size > 0 {
+		return min(sent, size)
+	}
+	return sent
+}
+
 // drop forgets a departed worker once nothing of ours is out on it.
 func (d *Dispatcher) drop(w *worker) {
 	if w.State == Gone && !w.listed && w.out == 0 && len(w.probes) == 0 {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -179,7 +179,7 @@
 	e.open++
 	e.Counts.Taken++
 	if e.Trace != nil {
-		e.Trace("arrival", r.ID, "class", j.Class, "left_us", j.GiveUpAt-e.Now())
+		e.Trace("arrival", r.ID, "class", j.Class, "left_us", j.GiveUpAt-e.Now(), "work_us", j.Hint, "slots", j.Slots)
 	}
 	e.call(func() { e.d.Arrive(e.Now(), j) })
 	return r
@@ -277,6 +277,9 @@
 // Started takes in that the job runs.
 func (a *Attempt) Started() {
 	if !a.over {
+		if a.e.Trace != nil {
+			a.e.Trace("started", a.Request.ID, "attempt", a.n, "worker", a.Worker.Name, "after_us", a.e.Now()-a.sentAt)
+		}
 		a.e.call(func() { a.e.d.Note(a.e.Now(), a.Request.ID, a.n, decide.NoteStarted, 0) })
 	}
 }
--- a/internal/jobs/discovery.go
+++ b/internal/jobs/discovery.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"weldscale/decide"
@@ -24,6 +25,12 @@
 	watchHold = 8 * time.Second
 	// patience is how much longer an answer may take: discovery lets calls queue for some seconds.
 	patience = 3 * time.Second
+	// callShare is how long one call of one scheduler is taken to keep discovery, before anything is known of it.
+	callShare = 60 * time.Millisecond
+	// burst is what discovery is let to work off at once: schedulers that all ask within it harm nobody.
+	burst = 400 * time.Millisecond
+	// maxHold keeps a watch whose connection has died unseen from leaving us deaf for long.
+	maxHold = 20 * time.Second
 	// maxList bounds a list answer; a thousand workers take about a quarter of it.
 	maxList = 1 << 20
 )
@@ -36,12 +43,64 @@
 	// Service names the service in the log; "" is the platform's.
 	Service string
 
+	// Rand spreads the calls; nil: they are not spread.
+	Rand *rand.Rand
+	// Cadence is how far apart the calls of this scheduler are.
+	Cadence Cadence
+
+	waiting *engine.Timer // for the moment of the next call
 	index   int64
 	foreign bool // the index is not this discovery's: only a whole list can tell where we stand
 	on      bool
 	calling *listCall
 }
 
+// Cadence decides how far apart a scheduler's calls are. Discovery is one service for all and handles calls one after
+// another, also those whose answers come too late to be taken: where every scheduler asks again at once, after a change
+// of the list or a 503, all wait for calls that nobody wants any more, for good. So each leaves the others their turn,
+// longer as calls fail, less long as answers come soon. The zero value leaves none.
+type Cadence struct {
+	Nodes int           // schedulers that share discovery
+	Ask   time.Duration // silence longer than this counts as having been told; four times that after a failed call
+	span  time.Duration // over which one call of each scheduler is spread
+	lost  bool          // the last call came to nothing
+}
+
+// Span is the time over which one call of each scheduler is spread.
+func (c *Cadence) Span() time.Duration { return max(c.span, time.Duration(c.Nodes)*callShare) }
+
+// Failed takes in that a call came to nothing.
+func (c *Cadence) Failed() {
+	c.lost = true
+	c.span = min(2*max(c.Span(), burst), max(c.Ask, c.Span()))
+}
+
+// Answered takes in that one was answered within so long.
+func (c *Cadence) Answered(within time.Duration) {
+	c.lost = false
+	if within < burst {
+		c.span = c.span * 7 / 8
+	}
+}
+
+// Pause is how long to wait before the next call; luck is from 0 to 1. It is none where all may as well ask at once.
+func (c *Cadence) Pause(luck float64) time.Duration {
+	most := c.Ask * 7 / 10
+	if c.lost {
+		most = c.Ask * 2
+	}
+	return min(time.Duration(2*luck*float64(max(0, c.Span()-burst))), most)
+}
+
+// Hold is how long discovery may sit on a call: the more share it, the longer.
+func (c *Cadence) Hold(luck float64) time.Duration {
+	hold := min(max(watchHold, 5*c.Span()), maxHold)
+	if hold > watchHold {
+		hold -= time.Duration(luck * float64(hold-watchHold) / 2)
+	}
+	return hold
+}
+
 // listCall is one call and its answer.
 type listCall struct {
 	d      *Discovery
@@ -54,6 +113,7 @@
 	reload bool
 	body   []byte
 	over   bool
+	began  decide.Time
 }
 
 // list is a list answer or the known list of the configuration.
@@ -110,6 +170,8 @@
 // Close ends the watch, without a word to the module.
 func (d *Discovery) Close() {
 	d.on = false
+	d.waiting.Stop()
+	d.waiting = nil
 	if d.calling != nil {
 		d.calling.drop()
 	}
@@ -129,9 +191,32 @@
 // Watch implements engine.Directory.
 func (d *Discovery) Watch(on bool) {
 	d.on = on
-	if on && d.calling == nil {
-		d.call(true, false)
+	if on && d.calling == nil && d.waiting == nil {
+		d.later(true)
+	}
+}
+
+// luck is a random number from 0 to 1.
+func (d *Discovery) luck() float64 {
+	if d.Rand == nil {
+		return 0
 	}
+	return d.Rand.Float64()
+}
+
+// later makes the next call of the watch when it is our turn.
+func (d *Discovery) later(first bool) {
+	pause := d.Cadence.Pause(d.luck())
+	if pause == 0 {
+		d.call(first, false)
+		return
+	}
+	d.waiting = d.Engine.After(pause, func() {
+		d.waiting = nil
+		if d.on && d.calling == nil {
+			d.call(first, false)
+		}
+	})
 }
 
 // Reload implements engine.Directory.
@@ -156,7 +241,9 @@
 
 func (d *Discovery) call(first, reload bool) {
 	reload = reload || d.foreign
-	x := &listCall{d: d, addr: d.Addr, first: first, reload: reload, parser: http1.NewResponseParser()}
+	d.waiting.Stop()
+	d.waiting = nil
+	x := &listCall{d: d, addr: d.Addr, began: d.Engine.Now(), first: first, reload: reload, parser: http1.NewResponseParser()}
 	d.calling = x
 	x.parser.OnBody = func(b []byte) {
 		if len(x.body)+len(b) <= maxList {
@@ -165,7 +252,7 @@
 			x.end(nil, "list is too long")
 		}
 	}
-	hold := watchHold
+	hold := d.Cadence.Hold(d.luck())
 	if first {
 		hold = firstHold
 	}
@@ -241,14 +328,18 @@
 	}
 	d := x.d
 	x.drop()
+	took := time.Duration(d.Engine.Now()-x.began) * time.Microsecond
 	if l == nil {
+		d.Cadence.Failed()
 		slog.Warn("worker list call failed", named(d.Service, "why", why)...)
 		d.Engine.Announce(decide.ListFailed, nil)
 		return
 	}
+	slog.Debug("worker list", named(d.Service, "index", l.Index, "from", d.index, "lines", len(l.Endpoints), "took", took)...)
+	d.Cadence.Answered(took)
 	d.index, d.foreign = l.Index, false
 	if d.on {
-		d.call(false, false)
+		d.later(false)
 	}
 	switch {
 	case l.Snapshot || x.reload:
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"net/netip"
 	"strings"
 	"testing"
@@ -706,3 +707,79 @@
 	assert.Equal(t, "x", string(resultOf("x", nil)))
 	assert.Equal(t, `{"a":1}`, string(resultOf(map[string]any{}, []byte(`{"result": {"a":1} }`))))
 }
+
+// Discovery that takes 13 calls a second, handles them in turn, those too whose callers have gone after 2 s, and has 80
+// schedulers: all ask at the start, at each change of the list and after each 503. Without a cadence more than half of
+// them never hear of a change again.
+func TestCadenceCarriesAFleet(t *testing.T) {
+	for name, c := range map[string]struct {
+		nodes  int
+		most   float64 // of calls that fail
+		served float64 // of schedulers that hear of each change before the next, after 8 s
+	}{"a fleet": {80, 0.05, 0.98}, "one": {1, 0, 1}, "a few": {8, 0, 1}} {
+		rng := rand.New(rand.NewPCG(1, 2))
+		const ms = time.Millisecond
+		type caller struct {
+			Cadence
+			at   time.Duration // of the next call
+			told time.Duration
+		}
+		all := make([]caller, c.nodes)
+		for i := range all {
+			all[i].Cadence = Cadence{Nodes: c.nodes, Ask: 10 * time.Second}
+			all[i].at = all[i].Pause(rng.Float64())
+		}
+		busy, calls, failed, heard, due := time.Duration(0), 0, 0, 0, 0
+		changed := time.Duration(-1) // the last change of the list
+		for now := time.Duration(0); now < 60*time.Second; now += 10 * ms {
+			if now%(8*time.Second) == 0 {
+				for i := range all {
+					due++
+					if changed < 0 || all[i].told >= changed {
+						heard++
+					}
+				}
+				changed = now
+			}
+			for i := range all {
+				x := &all[i]
+				if now < x.at {
+					continue
+				}
+				calls++
+				busy = max(busy, now) + time.Second/13
+				if busy-now > 2*time.Second {
+					failed++
+					x.Failed()
+					x.at = now + 2*time.Second + x.Pause(rng.Float64())
+					continue
+				}
+				answer := busy
+				if x.told >= changed { // nothing new: the call is held until the next change
+					answer = max(busy, changed+8*time.Second+time.Duration(rng.IntN(300))*ms)
+				}
+				x.told = answer
+				x.Answered(answer - now)
+				x.at = answer + x.Pause(rng.Float64())
+			}
+		}
+		assert.LessOrEqual(t, float64(failed), c.most*float64(calls), "%s: %d of %d calls failed", name, failed, calls)
+		assert.GreaterOrEqual(t, float64(heard), c.served*float64(due), "%s: %d of %d heard in time", name, heard, due)
+	}
+}
+
+// Pauses stay within what the settings count as silence, and are none for a few schedulers or no settings at all.
+func TestCadenceStaysWithinTheRule(t *testing.T) {
+	for _, nodes := range []int{0, 1, 5, 80, 10000} {
+		c := Cadence{Nodes: nodes, Ask: 10 * time.Second}
+		assert.LessOrEqual(t, c.Pause(1), 7*time.Second)
+		assert.Equal(t, nodes <= 5, c.Pause(1) == 0, nodes)
+		for range 20 {
+			c.Failed()
+			assert.LessOrEqual(t, c.Pause(1), 20*time.Second)
+			assert.Positive(t, c.Pause(1), "a failure is never answered by all at once")
+		}
+		assert.LessOrEqual(t, c.Hold(0), maxHold)
+		assert.GreaterOrEqual(t, c.Hold(1), watchHold)
+	}
+}
