Cold workers get their part by zone; list calls follow the queue that discovery shows

Two causes, each shown by logging every draw: measure stood still while most of the fleet was cold, so schedulers that had just restarted never learnt what a worker bears; and bear was the mean over all zones, while draws stay near, so a cold worker got a fifth of its part where it is near. Ruled out: slow echoes (237 of 259 cold candidates fitted in time). At fault: admit, measure.

Seen: with a fixed cadence discovery's queue grew by 0.3 s a second from 14 s on until all calls failed at 19 s. A call answered with news of several versions shows that queue: beyond 0.8 s calls go further apart, below 0.4 s closer.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,7 +25,7 @@
 	ejectShare   = 0.4        // more suspects than this share have a common cause: eject nobody further
 	drawTries    = 24         // random picks before the whole list is searched
 	coldShare    = 1.1        // a cold worker gets this part of a warm one's load, times its sure warmth
-	coldJob      = 0.5        // no single job may take more than this part of a cold worker's fall budget
+	coldJob      = 0.25       // no single job may take more than this part of a cold worker's fall budget
 	learnRate    = 0.1        // weight of the newest run in the running mean of a class
 	priceUp      = 1.2        // a few collisions in a row must tell
 	priceDown    = 0.95       // at balance about one push in four collides
@@ -240,8 +240,7 @@
 	if warmth >= 1 {
 		return true
 	}
-	bear := d.bear / 1e6
-	w.credit += coldShare * warmth * bear * float64(d.now-w.creditAt)
+	w.credit += coldShare * warmth * d.bear[d.far(w)] / 1e6 * float64(d.now-w.creditAt)
 	w.creditAt = d.now
 	budget := d.s.FallMultiple * warmth * d.carries(w) * float64(d.s.FallSpan)
 	if float64(j.work)*j.Slots > coldJob*budget {
@@ -396,7 +395,7 @@
 	w.out++
 	w.held += j.Slots
 	w.recent = append(w.recent, claim{d.now, j.ID, n, j.Slots, j.Memory})
-	d.pushed += float64(j.work) * j.Slots
+	d.pushed[d.far(w)] += float64(j.work) * j.Slots
 	d.act.Push(j.ID, w.ID, j.GiveUpAt-d.now)
 	if d.s.TellsStart {
 		d.act.Wake(startSoon, wakeStart|uint64(n)<<32|uint64(j.ID))
@@ -660,18 +659,19 @@
 	}
 }
 
-// measure updates bear. It stands still while most of the fleet is cold: the few warm ones then get more
-// than their due, which must not be read as what a cold one can take.
+// measure updates bear, for our own zone and the others: draws stay near, so a near worker gets far more than
+// others. A cold one counts for as much as it is warm, so bear is never more than what it can take.
 func (d *Dispatcher) measure(span float64) {
-	warm := 0
+	var warm [2]float64
 	for _, w := range d.ready {
-		if d.warmth(w) >= 1 {
-			warm++
-		}
+		warm[d.far(w)] += d.warmth(w)
 	}
-	if warm*2 >= len(d.ready) && warm > 0 {
-		d.bear += 0.2 * (d.pushed/span*1e6/float64(warm) - d.bear)
+	d.measured++
+	for i, n := range warm {
+		if n > 0 {
+			d.bear[i] += max(0.2, 1/d.measured) * (d.pushed[i]/span*1e6/n - d.bear[i]) // the first seconds count alike
+		}
 	}
-	d.pushed, d.bearAt = 0, d.now
+	d.pushed, d.bearAt = [2]float64{}, d.now
 	d.price = max(d.price*priceFade, d.cheapest/2)
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -102,11 +102,12 @@
 	scratch         []*worker
 	jobs            map[uint32]*job
 	spare           []*job
-	runs            []float64 // mean run of each class, in us
-	run             float64   // of all lately
-	share           float64   // largest part of a class's deadline that a client was seen to grant
-	bear            float64   // work a second that we send to one warm worker, in us
-	pushed          float64   // work sent since bearAt
+	runs            []float64  // mean run of each class, in us
+	run             float64    // of all lately
+	share           float64    // largest part of a class's deadline that a client was seen to grant
+	bear            [2]float64 // work a second that we send to one warm worker, in us: of our zone, of another
+	measured        float64    // how often that was measured
+	pushed          [2]float64 // work sent since bearAt
 	bearAt          Time
 	tokens          []float64 // requests left in each tenant's share
 	tokenAt         []Time
@@ -233,10 +234,19 @@
 	return d.sizes[w.Kind]
 }
 
+// far is 0 for a worker of our own zone and 1 for any other.
+func (d *Dispatcher) far(w *worker) int {
+	if w.Zone == d.s.Zone {
+		return 0
+	}
+	return 1
+}
+
 // carries is how much work a second a warm worker like w is sure to do: what all schedulers send to one, as far as this
 // one's part tells, but with few jobs of its own that says little, so no more than its slots at the speed of one core.
 func (d *Dispatcher) carries(w *worker) float64 {
-	sent := d.bear / 1e6 * float64(d.s.Nodes)
+	zones := float64(max(1, d.s.Zones))
+	sent := (d.bear[0] + d.bear[1]*(zones-1)) / zones / 1e6 * float64(d.s.Nodes)
 	if size := d.sizeOf(w); size > 0 {
 		return min(sent, size)
 	}
--- a/internal/jobs/discovery.go
+++ b/internal/jobs/discovery.go
@@ -26,9 +26,9 @@
 	// patience is how much longer an answer may take: discovery lets calls queue for some seconds.
 	patience = 3 * time.Second
 	// callShare is how long one call of one scheduler is taken to keep discovery, before anything is known of it.
-	callShare = 60 * time.Millisecond
+	callShare = 90 * time.Millisecond
 	// burst is what discovery is let to work off at once: schedulers that all ask within it harm nobody.
-	burst = 400 * time.Millisecond
+	burst = 800 * time.Millisecond
 	// maxHold keeps a watch whose connection has died unseen from leaving us deaf for long.
 	maxHold = 20 * time.Second
 	// maxList bounds a list answer; a thousand workers take about a quarter of it.
@@ -48,6 +48,7 @@
 	// Cadence is how far apart the calls of this scheduler are.
 	Cadence Cadence
 
+	called  bool          // a call was made, or waits
 	waiting *engine.Timer // for the moment of the next call
 	index   int64
 	foreign bool // the index is not this discovery's: only a whole list can tell where we stand
@@ -62,12 +63,17 @@
 type Cadence struct {
 	Nodes int           // schedulers that share discovery
 	Ask   time.Duration // silence longer than this counts as having been told; four times that after a failed call
-	span  time.Duration // over which one call of each scheduler is spread
+	span  time.Duration // over which one call of each scheduler is spread; 0: nothing was heard yet
 	lost  bool          // the last call came to nothing
 }
 
 // Span is the time over which one call of each scheduler is spread.
-func (c *Cadence) Span() time.Duration { return max(c.span, time.Duration(c.Nodes)*callShare) }
+func (c *Cadence) Span() time.Duration {
+	if c.span == 0 {
+		c.span = time.Duration(c.Nodes) * callShare
+	}
+	return c.span
+}
 
 // Failed takes in that a call came to nothing.
 func (c *Cadence) Failed() {
@@ -75,17 +81,31 @@
 	c.span = min(2*max(c.Span(), burst), max(c.Ask, c.Span()))
 }
 
-// Answered takes in that one was answered within so long.
-func (c *Cadence) Answered(within time.Duration) {
+// Answered takes in that one was answered within so long; queued says that the answer was there before the call, which
+// then shows how long discovery's queue is. What others make it do tells how far apart to ask.
+func (c *Cadence) Answered(within time.Duration, queued bool) {
 	c.lost = false
-	if within < burst {
-		c.span = c.span * 7 / 8
+	switch {
+	case within < burst/8:
+		c.span = max(c.Span()/2, time.Duration(c.Nodes)*callShare/8)
+	case within < burst/2:
+		c.span = max(c.Span()*7/8, time.Duration(c.Nodes)*callShare/8)
+	case within > burst && queued:
+		c.span = min(c.Span()*3/2, max(c.Ask, c.Span()))
+	}
+}
+
+// First is how long to wait before the first call; luck is from 0 to 1. Who has just started knows least and goes first.
+func (c *Cadence) First(luck float64) time.Duration {
+	if c.Span() <= burst {
+		return 0
 	}
+	return min(time.Duration(luck*float64(c.Span())), c.Ask*17/20)
 }
 
 // Pause is how long to wait before the next call; luck is from 0 to 1. It is none where all may as well ask at once.
 func (c *Cadence) Pause(luck float64) time.Duration {
-	most := c.Ask * 7 / 10
+	most := c.Ask * 17 / 20
 	if c.lost {
 		most = c.Ask * 2
 	}
@@ -207,6 +227,10 @@
 // later makes the next call of the watch when it is our turn.
 func (d *Discovery) later(first bool) {
 	pause := d.Cadence.Pause(d.luck())
+	if !d.called {
+		pause = d.Cadence.First(d.luck())
+	}
+	d.called = true
 	if pause == 0 {
 		d.call(first, false)
 		return
@@ -336,7 +360,7 @@
 		return
 	}
 	slog.Debug("worker list", named(d.Service, "index", l.Index, "from", d.index, "lines", len(l.Endpoints), "took", took)...)
-	d.Cadence.Answered(took)
+	d.Cadence.Answered(took, x.first || x.reload || l.Index > d.index+1)
 	d.index, d.foreign = l.Index, false
 	if d.on {
 		d.later(false)
