A worker that refuses a probe is left for a growing term; cold workers get more

At fault: judgeProbe, which holds a 503 against nobody and counts a refused dial as lost, with a second look each time, and eject, whose share of suspects is used up where more than 0.4 of the fleet is replaced. Ruled out as a sign: slow echoes (workers 4 times slower than their kind answer probes as soon as any). Now both are left for 2 s, 8 s, 20 s, until served or started anew.

Seen: cold workers told of held 0.1 to 1 busy slots beside full ones; cold_from and cold_us are bounds, so they are warmer than reckoned. Now 1.6 times their sure part (1.1 before) and a credit for 0.75 s when told of; a job of four slots is not pushed beside one in flight where a size is only known by its kind.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -20,11 +20,12 @@
 	brokenFrom   = 3          // attempts broken in a row: the worker breaks them
 	lostFrom     = 2          // one look may come at a bad moment
 	startSoon    = 100 * ms   // a job not started by then met a slot that was not free
+	denyFirst    = 2000 * ms  // a drain lasts for seconds; a worker that is asked too much just now is soon back
 	ejectFirst   = 4000 * ms  // the first term: a stumble is often over by then
 	ejectMax     = 20000 * ms // long enough to be rid of it, short enough to notice its return
 	ejectShare   = 0.4        // more suspects than this share have a common cause: eject nobody further
 	drawTries    = 24         // random picks before the whole list is searched
-	coldShare    = 1.1        // a cold worker gets this part of a warm one's load, times its sure warmth
+	coldShare    = 1.6        // a cold worker gets this part of a warm one's load, times its sure warmth
 	coldJob      = 0.25       // no single job may take more than this part of a cold worker's fall budget
 	learnRate    = 0.1        // weight of the newest run in the running mean of a class
 	priceUp      = 1.2        // a few collisions in a row must tell
@@ -33,7 +34,7 @@
 	nearPerPrice = 1.5        // near draws only, for this part of the slack times the price of crossing
 	shareBurst   = 8          // seconds of a tenant's share may come at once: a node sees few jobs, unevenly
 	lagLook      = 250 * ms   // looks at one worker closer than this tell how long its reports stand
-	lagFresh     = 300 * ms   // reports that stand longer are too old to aim a second copy by
+	lagFresh     = 300 * ms   // by older reports a second copy meets a taken slot as often as the first
 	lagMost      = 1000 * ms  // a report older than that says nothing, and claims must not outlive it
 	usualRun     = 100 * ms   // the spans above suit jobs that run at least as long
 	hearsaySpan  = 10000 * ms // two peers' complaints of a worker within this span are believed
@@ -346,7 +347,7 @@
 	} else if size > 0 && r.InFlight > size-r.FreeSlots+sizeNoise {
 		r.FreeSlots = 0
 	} else if size > 0 && r.Has&HasInFlight != 0 {
-		r.FreeSlots = min(r.FreeSlots, size-r.InFlight)
+		r.FreeSlots = min(r.FreeSlots, size-max(1, r.InFlight))
 	}
 	keep, shown := w.recent[:0], r.FreeSlots
 	for _, c := range w.recent {
@@ -407,8 +408,7 @@
 func (d *Dispatcher) hold(j *job) {
 	j.draw++
 	j.misses++
-	wait := d.brief(min(backoffMin<<min(j.misses/2, 10), backoffMax))
-	wait = wait/2 + d.rng.Int64N(wait+1)
+	wait := d.jitter(d.brief(min(backoffMin<<min(j.misses/2, 10), backoffMax)))
 	if len(j.attempts) >= d.s.MaxAttempts || d.now+wait > j.latest {
 		j.drawing = false
 		if j.out == 0 {
@@ -492,11 +492,16 @@
 	}
 }
 
-// judgeProbe suspects a worker if two probes in a row were lost: hung, gone, or behind a cut link. Nothing of
-// ours will come back from there. After the first it looks again: no more than a connection may have broken.
-func (d *Dispatcher) judgeProbe(w *worker, s Status) {
+// judgeProbe suspects a worker if two probes in a row were lost; the second is asked for at once. One that
+// refuses a probe tells that it drains or is gone, sooner than the list does: there no cause is shared.
+func (d *Dispatcher) judgeProbe(w *worker, s Status, echo Time) {
+	if s == Error || s == ConnectFailed && echo < probeWait {
+		w.fullUntil = d.now + d.jitter(min(denyFirst<<min(2*w.denied, 8), ejectMax))
+		w.denied++
+		return
+	}
 	if s != TimedOut && s != ConnectFailed && s != Reset {
-		w.lost = 0
+		w.lost, w.denied = 0, 0
 		return
 	}
 	if w.lost++; w.lost < lostFrom {
@@ -575,16 +580,14 @@
 	if float64(bad+1) > ejectShare*float64(len(d.ready)) {
 		return
 	}
-	term := min(ejectFirst<<min(w.level, 8), ejectMax)
-	w.badUntil = d.now + term/2 + d.rng.Int64N(term+1)
+	w.badUntil = d.now + d.jitter(min(ejectFirst<<min(w.level, 8), ejectMax))
 	w.level++
 	if d.s.CanTell && (w.heard < 2 || d.now-w.heardAt > hearsaySpan) {
 		d.act.Tell(PeerAll, binary.BigEndian.AppendUint64(d.message[:0], uint64(w.ID)))
 	}
 }
 
-// hear takes a peer's word that a worker failed it. In a large fleet a node meets a worker once in many
-// seconds and would pay for each lesson itself. One peer may have had bad luck; two are believed.
+// hear takes a peer's word that a worker failed it. One peer may have had bad luck; two are believed.
 func (d *Dispatcher) hear(w *worker) {
 	if d.now-w.heardAt > hearsaySpan {
 		w.heard = 0
@@ -622,16 +625,12 @@
 	a.w.late++
 	d.busy += lateCounts * (1 - d.busy)
 	d.reprice(true)
-	if j.class.Effect != Unsafe && d.s.SecondCopies && !j.drawing && d.mayHedge() {
+	if j.class.Effect != Unsafe && d.s.SecondCopies && !j.drawing && d.lag < lagFresh {
 		d.drawPair(j) // mayRepeat keeps it inside its key's scope
 	}
 	d.act.Wake(lookSpan, wakeLook|uint64(n)<<32|uint64(j.ID))
 }
 
-// mayHedge allows a second copy only where reports are fresh. One aimed by an old report meets a taken slot
-// as often as the first did, and may run though called off: that cost a fleet a third of its capacity.
-func (d *Dispatcher) mayHedge() bool { return d.lag < lagFresh }
-
 // learnLag keeps how long reports stand, on the mean: looks at one worker in quick succession, by their
 // span, over those that found a new report. Only where we hold more or less there than at the last look must
 // there be one; a worker with nothing free may well say so twice and tells nothing.
--- a/decide/events.go
+++ b/decide/events.go
@@ -30,7 +30,7 @@
 		d.learnEcho(w, latency)
 		d.learnLag(w, r)
 	}
-	d.judgeProbe(w, status)
+	d.judgeProbe(w, status, latency)
 	j := d.jobs[p.job]
 	if p.look > 0 && j != nil && p.look <= len(j.attempts) {
 		d.afterLook(j, p.look-1, status, r)
--- a/decide/state.go
+++ b/decide/state.go
@@ -21,6 +21,7 @@
 	badUntil  Time      // ejected until then
 	shuns     []shunned // by class
 	lost      int       // probes lost in a row
+	denied    int       // probes refused in a row
 	broken    int       // attempts broken off in a row
 	level     int       // grows the next term of ejection
 	credit    float64   // work that this node may still send it while it is cold
@@ -184,8 +185,8 @@
 			d.listed = append(d.listed, w)
 		}
 		if w.StartedAt != e.StartedAt { // a fresh process: nothing held against it, nothing saved up
-			w.badUntil, w.fullUntil, w.level = 0, 0, 0
-			w.credit, w.creditAt = 0, d.now
+			w.badUntil, w.fullUntil, w.level, w.denied = 0, 0, 0, 0
+			w.credit, w.creditAt = 0, max(e.StartedAt, d.now-d.s.FallSpan/2)
 			clear(w.shuns)
 		}
 		w.Worker = e
@@ -234,6 +235,9 @@
 	return d.sizes[w.Kind]
 }
 
+// jitter spreads a span by half of it either way.
+func (d *Dispatcher) jitter(span Time) Time { return span/2 + d.rng.Int64N(span+1) }
+
 // far is 0 for a worker of our own zone and 1 for any other.
 func (d *Dispatcher) far(w *worker) int {
 	if w.Zone == d.s.Zone {
