--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -783,3 +783,44 @@
 		assert.GreaterOrEqual(t, c.Hold(1), watchHold)
 	}
 }
+
+// Whatever discovery does instead of answering with a list: the last one stays in force, the failure is told once and
+// the next call asks from the same version and after a longer pause. An address may change under a name.
+func TestDiscoveryFaults(t *testing.T) {
+	long := strings.Repeat("x", maxList+1)
+	for name, answer := range map[string]string{
+		"503":              "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+		"a 404":            "HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\n{}",
+		"half an answer":   "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"index\":9,\"snapshot\":true,\"endpo",
+		"a truncated list": "HTTP/1.1 200 OK\r\nContent-Length: 34\r\n\r\n{\"index\":9,\"snapshot\":true,\"endpoi",
+		"not a list":       "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+		"not HTTP":         "hello\r\n\r\n",
+		"an endless list":  fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long),
+		"nothing":          "",
+	} {
+		b := newBench(t)
+		b.list.Cadence = Cadence{Nodes: 80, Ask: 10 * time.Second}
+		before := b.list.Cadence.Pause(0.5)
+		b.list.Watch(true)
+		conn := b.dialer.conn
+		conn.handler.Data([]byte(answer))
+		conn.handler.Closed()
+		assert.Equal(t, 1, b.e.Counts.ListFailed, name)
+		assert.Greater(t, b.list.Cadence.Pause(0.5), before, name)
+		addrs := map[string]bool{}
+		b.e.Each(func(addr string) { addrs[addr] = true })
+		assert.Equal(t, map[string]bool{"x:1": true}, addrs, name)
+		b.dialer.conn = &fakeConn{}
+		b.list.Watch(true)
+		assert.Contains(t, b.dialer.conn.out, "from=3&", name)
+		body := `{"index":4,"endpoints":[{"name":"a","address":"x:2","zone":"here","type":"box","status":"SERVING"}]}`
+		b.dialer.conn.handler.Data([]byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)))
+		clear(addrs)
+		b.e.Each(func(addr string) { addrs[addr] = true })
+		assert.Equal(t, map[string]bool{"x:2": true}, addrs, "%s: the address changed under the name", name)
+	}
+	b := newBench(t)
+	b.dialer.conn = nil // refused
+	b.list.Watch(true)
+	assert.Equal(t, 1, b.e.Counts.ListFailed, "a refused dial")
+}
