--- a/internal/engine/counts.go
+++ b/internal/engine/counts.go
@@ -15,7 +15,8 @@
 	BadRequests                             int // answered 4xx or 5xx without becoming a request
 	Pushes                                  int
 	Outcomes, Probes                        [decide.Moot + 1]int // by decide.Status
-	ListNews, ListFailed                    int
+	ListCalls, ListNews, ListFailed         int                  // calls of discovery, answers with news, calls that came to nothing
+	ListWait                                time.Duration        // the longest that an answer of discovery took which was there before the call
 	Dials, DialsFailed                      int
 	Shed                                    int           // connections closed to stay within the descriptor budget
 	SlowWorkers                             int           // exchanges ended since the worker took or wrote too slowly
@@ -40,7 +41,7 @@
 			}
 		}
 	}
-	fmt.Fprintf(&b, " list_news=%d list_failed=%d dials=%d dials_failed=%d shed=%d slow_workers=%d loop_lag_ms=%.1f",
-		c.ListNews, c.ListFailed, c.Dials, c.DialsFailed, c.Shed, c.SlowWorkers, c.Lag.Seconds()*1e3)
+	fmt.Fprintf(&b, " list_calls=%d list_news=%d list_failed=%d list_wait_ms=%.0f dials=%d dials_failed=%d shed=%d slow_workers=%d loop_lag_ms=%.1f",
+		c.ListCalls, c.ListNews, c.ListFailed, c.ListWait.Seconds()*1e3, c.Dials, c.DialsFailed, c.Shed, c.SlowWorkers, c.Lag.Seconds()*1e3)
 	return b.String()
 }
--- a/internal/jobs/discovery.go
+++ b/internal/jobs/discovery.go
@@ -280,6 +280,7 @@
 	if first {
 		hold = firstHold
 	}
+	d.Engine.Counts.ListCalls++
 	x.timer = d.Engine.After(hold+patience, func() { x.end(nil, "no answer") })
 	x.giveUp = d.Dialer.Get(x.addr, false, func(c Conn) {
 		x.giveUp = nil
@@ -360,7 +361,11 @@
 		return
 	}
 	slog.Debug("worker list", named(d.Service, "index", l.Index, "from", d.index, "lines", len(l.Endpoints), "took", took)...)
-	d.Cadence.Answered(took, x.first || x.reload || l.Index > d.index+1)
+	queued := x.first || x.reload || l.Index > d.index+1
+	d.Cadence.Answered(took, queued)
+	if queued {
+		d.Engine.Counts.ListWait = max(d.Engine.Counts.ListWait, took)
+	}
 	d.index, d.foreign = l.Index, false
 	if d.on {
 		d.later(false)
