Name the cadence's terms once; a test calls overdue instead of copying its check

Found on reading the whole change again. The test of second copies repeated the condition instead of calling overdue: now it drives it, and fails with the check taken out. No behaviour changes.

--- a/decide/failures_test.go
+++ b/decide/failures_test.go
@@ -66,7 +66,8 @@
 			w.out++ // something of ours is new there
 			d.learnLag(w, free(1+float64(i*50*ms/every%7)/10))
 		}
-		if d.lag < lagFresh != want {
+		j := &job{class: &d.s.Classes[0], attempts: []attempt{{w: w, out: true}}}
+		if d.overdue(j, 0); j.drawing != want {
 			t.Errorf("reports every %d ms: second copies %v", every/ms, !want)
 		}
 	}
@@ -670,8 +671,9 @@
 		out    bool
 	}{"it drains": {Error, ms, true}, "it is gone": {ConnectFailed, ms, true}, "it may be far": {ConnectFailed, 250 * ms, false},
 		"it answers": {Served, ms, false}, "the connection broke": {Reset, ms, false}} {
-		d, _ := newNode(t, testSettings(), fleet(10)...)
+		d, r := newNode(t, testSettings(), fleet(10)...)
 		j := &job{class: &d.s.Classes[1], Job: Job{Class: 1}}
+		r.take("")
 		for range 2 {
 			for _, w := range d.ready { // all at once, and none of them for a cause that is shared
 				d.judgeProbe(w, c.status, c.echo)
@@ -681,7 +683,12 @@
 					t.Errorf("%s: held against it", name)
 				}
 			}
-			d.now += 4 * second
+			if c.out && count(r.take(""), "probe") > 0 {
+				t.Errorf("%s: looked at again", name)
+			}
+			if d.now += 4 * second; c.out && d.ready[0].denied == 1 && !d.usable(j, d.ready[0]) {
+				t.Errorf("%s: not back after its term", name)
+			}
 		}
 		d.takeList(ListDelta, []Worker{{ID: d.ready[0].ID, State: Ready, StartedAt: d.now}})
 		if !d.usable(j, d.ready[0]) {
--- a/internal/jobs/discovery.go
+++ b/internal/jobs/discovery.go
@@ -67,10 +67,16 @@
 	lost  bool          // the last call came to nothing
 }
 
+// all is how long discovery is taken to need for one call of each scheduler, before anything is known of it.
+func (c *Cadence) all() time.Duration { return time.Duration(c.Nodes) * callShare }
+
+// unasked is the longest wait after which a call still comes before our silence counts as having been told.
+func (c *Cadence) unasked() time.Duration { return c.Ask * 17 / 20 }
+
 // Span is the time over which one call of each scheduler is spread.
 func (c *Cadence) Span() time.Duration {
 	if c.span == 0 {
-		c.span = time.Duration(c.Nodes) * callShare
+		c.span = c.all()
 	}
 	return c.span
 }
@@ -87,9 +93,9 @@
 	c.lost = false
 	switch {
 	case within < burst/8:
-		c.span = max(c.Span()/2, time.Duration(c.Nodes)*callShare/8)
+		c.span = max(c.Span()/2, c.all()/8)
 	case within < burst/2:
-		c.span = max(c.Span()*7/8, time.Duration(c.Nodes)*callShare/8)
+		c.span = max(c.Span()*7/8, c.all()/8)
 	case within > burst && queued:
 		c.span = min(c.Span()*3/2, max(c.Ask, c.Span()))
 	}
@@ -100,12 +106,12 @@
 	if c.Span() <= burst {
 		return 0
 	}
-	return min(time.Duration(luck*float64(c.Span())), c.Ask*17/20)
+	return min(time.Duration(luck*float64(c.Span())), c.unasked())
 }
 
 // Pause is how long to wait before the next call; luck is from 0 to 1. It is none where all may as well ask at once.
 func (c *Cadence) Pause(luck float64) time.Duration {
-	most := c.Ask * 17 / 20
+	most := c.unasked()
 	if c.lost {
 		most = c.Ask * 2
 	}
@@ -226,11 +232,12 @@
 
 // later makes the next call of the watch when it is our turn.
 func (d *Discovery) later(first bool) {
-	pause := d.Cadence.Pause(d.luck())
+	next := d.Cadence.Pause
 	if !d.called {
-		pause = d.Cadence.First(d.luck())
+		next = d.Cadence.First
 	}
 	d.called = true
+	pause := next(d.luck())
 	if pause == 0 {
 		d.call(first, false)
 		return
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -779,6 +779,7 @@
 	long := strings.Repeat("x", maxList+1)
 	for name, answer := range map[string]string{
 		"503":              "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+		"a 404":            "HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\n{}",
 		"half an answer":   "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"index\":9,\"snapshot\":true,\"endpo",
 		"a truncated list": "HTTP/1.1 200 OK\r\nContent-Length: 34\r\n\r\n{\"index\":9,\"snapshot\":true,\"endpoi",
 		"not a list":       "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
