A second address: ready, figures, and workers taken out and put back by hand

internal/mgmt holds the calls as a state machine and the figures as JSON, net.Second listens beside netpoll with 16 connections at most, Loop.Soon puts a call before the loop's queue and withdraws it when it is late, jobs.Overlay shows a worker that is out as draining whatever the list says. Jobs are counted by class and end, attempts where they were written whole. The module is told of the overlay apart from discovery's answers: Announce would have set 'watched' and left a scheduler whose watch had failed deaf.

Ruled out by tests: silent callers (48 beside a call), a long queue, a worker deleted and listed again while out, a call that came too late taking effect afterwards.

--- a/cmd/weldscale/config.go
+++ b/cmd/weldscale/config.go
@@ -27,6 +27,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Mgmt      string `json:"mgmt"` // the second address; "": none
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
@@ -59,7 +60,7 @@
 	if err := json.Unmarshal(text, c); err != nil {
 		return nil, fmt.Errorf("config: %s: %w", path, err)
 	}
-	for name, field := range map[string]*string{"GW_NAME": &c.Name, "GW_LISTEN": &c.Listen, "GW_DISCOVERY": &c.Discovery} {
+	for name, field := range map[string]*string{"GW_NAME": &c.Name, "GW_LISTEN": &c.Listen, "GW_DISCOVERY": &c.Discovery, "GW_MGMT": &c.Mgmt} {
 		if *field == "" {
 			*field = getenv(name)
 		}
@@ -70,6 +71,9 @@
 	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
 		return nil, fmt.Errorf("config: discovery: %w", err)
 	}
+	if _, _, err := net.SplitHostPort(c.Mgmt); c.Mgmt != "" && err != nil {
+		return nil, fmt.Errorf("config: mgmt: %w", err)
+	}
 	if c.Limits.Sockets < 64 || c.Limits.MemoryMB < 16 {
 		return nil, errors.New("config: limits: sockets or memory_mb is missing or too small")
 	}
--- a/cmd/weldscale/serve.go
+++ b/cmd/weldscale/serve.go
@@ -133,6 +133,8 @@
 	e         *engine.Engine
 	driver    *net.Driver
 	server    *jobs.Server
+	overlay   *jobs.Overlay // of workers taken out by hand
+	second    *net.Second   // nil: the platform names no second address
 	workers   *jobs.Workers
 	discovery *jobs.Discovery
 	services  map[string]*service // that the operator's file names
@@ -156,7 +158,7 @@
 	server := jobs.NewServer(jobs.NewService("", e, c.classes))
 	server.Pace = pace.New(c.file.SlowPeers)
 	driver.Accepted = server.Serve
-	server.Ready = func() bool { return e.Ready() || s.anyReady() }
+	server.Ready = s.ready
 	driver.ShedIdle = server.MakeRoom
 	driver.Counted = func(dials, failed, shed int) {
 		e.Counts.Dials += dials
@@ -166,11 +168,12 @@
 	discovery := &jobs.Discovery{Engine: e, Dialer: driver, Addr: c.Discovery, Rand: rand.New(rand.NewPCG(c.engine.Seed, 1)),
 		Cadence: jobs.Cadence{Nodes: c.engine.Settings.Nodes, Ask: time.Duration(c.engine.Settings.AskWithin) * time.Microsecond}}
 	workers := &jobs.Workers{Engine: e, Dialer: driver, Reports: c.reports, Host: "app.svc", Pace: c.file.Workers}
+	overlay := jobs.NewOverlay(e)
 	e.Use(workers, discovery)
 	if err := discovery.Known(c.Known); err != nil {
 		return nil, err
 	}
-	*s = scheduler{c: c, loop: loop, e: e, driver: driver, server: server, workers: workers, discovery: discovery, clock: &pool.Clock{}}
+	*s = scheduler{c: c, loop: loop, e: e, driver: driver, server: server, workers: workers, discovery: discovery, overlay: overlay, clock: &pool.Clock{}}
 	server.Stats = func() string {
 		return fmt.Sprintf("%s %s goroutines=%d log_dropped=%d%s", &e.Counts, server.Pace.Counts(), runtime.NumGoroutine(),
 			logs.Dropped(), s.serviceStats())
@@ -187,7 +190,14 @@
 	if err := s.apply(c.file); err != nil {
 		return nil, err
 	}
-	return s, driver.Listen(c.Listen)
+	if err := driver.Listen(c.Listen); err != nil {
+		return nil, err
+	}
+	if c.Mgmt != "" {
+		driver.KeepForSecond()
+		s.second, err = net.ListenSecond(c.Mgmt, operate{s})
+	}
+	return s, err
 }
 
 // reload puts a new configuration in force, as far as a running scheduler can: where discovery is and the
--- a/cmd/weldscale/services.go
+++ b/cmd/weldscale/services.go
@@ -23,14 +23,15 @@
 
 // service is one that runs.
 type service struct {
-	conf  operator.Service
-	jobs  *jobs.Service
-	e     *engine.Engine
-	share *pool.Share
-	lane  *pool.Lane
-	dials *net.Dialer    // of its connections to workers
-	list  *member.Static // of workers that the file names itself
-	stop  func()         // of its membership
+	conf    operator.Service
+	jobs    *jobs.Service
+	e       *engine.Engine
+	share   *pool.Share
+	lane    *pool.Lane
+	overlay *jobs.Overlay
+	dials   *net.Dialer    // of its connections to workers
+	list    *member.Static // of workers that the file names itself
+	stop    func()         // of its membership
 }
 
 // reports are the figures of PROTOCOL, in the order in which a service's workers are asked for them.
@@ -55,6 +56,7 @@
 	}
 	dials := s.driver.Dialer(conf.Connections)
 	v := &service{conf: conf, e: e, dials: dials, jobs: jobs.NewService(conf.Name, e, conf.ClassNames()), stop: func() {}}
+	v.overlay = jobs.NewOverlay(e)
 	workers := &jobs.Workers{Engine: e, Dialer: dials, Reports: reports, Host: conf.Name, Service: conf.Name, Pace: s.c.file.Workers}
 	switch {
 	case conf.Discovery != "":
--- a/decide/events.go
+++ b/decide/events.go
@@ -14,6 +14,12 @@
 	wakeLook
 )
 
+// Overlaid takes in entries that the caller sees otherwise from now on, though the worker list has not spoken.
+func (d *Dispatcher) Overlaid(now Time, list []Worker) {
+	d.tick(now)
+	d.takeList(ListDelta, list)
+}
+
 // ProbeResult takes in the answer to a probe.
 func (d *Dispatcher) ProbeResult(now Time, id WorkerID, status Status, latency Time, r Report) {
 	d.tick(now)
--- a/decide/state.go
+++ b/decide/state.go
@@ -211,6 +211,17 @@
 	d.listed = keep
 }
 
+// Avoided is how many ready workers get nothing just now, whatever the job: suspected, refusing, or late with a start.
+func (d *Dispatcher) Avoided(now Time) int {
+	n := 0
+	for _, w := range d.ready {
+		if w.badUntil > now || w.fullUntil > now || w.late > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // learnSize takes in what an idle worker shows: all its slots are free.
 func (d *Dispatcher) learnSize(w *worker, r Report) {
 	if r.Has&HasInFlight == 0 || r.Has&HasFreeSlots == 0 || r.InFlight != 0 {
--- a/internal/engine/counts.go
+++ b/internal/engine/counts.go
@@ -12,15 +12,20 @@
 // may depend on it but what people read.
 type Counts struct {
 	Taken, Served, Refused, Failed, Hangups int
-	BadRequests                             int // answered 4xx or 5xx without becoming a request
-	Pushes                                  int
-	Outcomes, Probes                        [decide.Moot + 1]int // by decide.Status
-	ListCalls, ListNews, ListFailed         int                  // calls of discovery, answers with news, calls that came to nothing
-	ListWait                                time.Duration        // the longest that an answer of discovery took which was there before the call
-	Dials, DialsFailed                      int
-	Shed                                    int           // connections closed to stay within the descriptor budget
-	SlowWorkers                             int           // exchanges ended since the worker took or wrote too slowly
-	Lag                                     time.Duration // the longest that one piece of work has kept the loop
+	// Ended is jobs by how they ended (0 served, 1 refused, 2 failed) and class; also those that were refused before
+	// they became requests.
+	Ended [3][]int
+	// Written is attempts that were written whole to workers.
+	Written                         int
+	BadRequests                     int // answered 4xx or 5xx without becoming a request
+	Pushes                          int
+	Outcomes, Probes                [decide.Moot + 1]int // by decide.Status
+	ListCalls, ListNews, ListFailed int                  // calls of discovery, answers with news, calls that came to nothing
+	ListWait                        time.Duration        // the longest that an answer of discovery took which was there before the call
+	Dials, DialsFailed              int
+	Shed                            int           // connections closed to stay within the descriptor budget
+	SlowWorkers                     int           // exchanges ended since the worker took or wrote too slowly
+	Lag                             time.Duration // the longest that one piece of work has kept the loop
 }
 
 // StatusNames are the names of decide.Status.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -49,6 +49,12 @@
 	Reload()
 }
 
+// Overlay stands between the list and the engine.
+type Overlay interface {
+	// Over returns the entries as the engine is to see them.
+	Over(kind decide.ListKind, entries []Entry) []Entry
+}
+
 // Worker is one worker as the list names it. Its address may change; its name and ID do not.
 type Worker struct {
 	ID    decide.WorkerID
@@ -110,6 +116,8 @@
 	Meter Meter
 	// Trace, if set, is told what becomes of each request, by its number.
 	Trace func(event string, request uint32, args ...any)
+	// Overlay, if set, changes what news of the list means before anyone acts on it.
+	Overlay Overlay
 	// Used, if set, is told how long the loop was at work for this engine.
 	Used func(span time.Duration)
 
@@ -141,6 +149,9 @@
 func New(loop *Loop, c Config) (*Engine, error) {
 	e := &Engine{Loop: loop, classes: c.Settings.Classes, zones: numbered(c.Zones), kinds: numbered(c.Kinds), byName: map[string]*Worker{},
 		byID: map[decide.WorkerID]*Worker{}, requests: map[uint32]*Request{}}
+	for i := range e.Counts.Ended {
+		e.Counts.Ended[i] = make([]int, len(e.classes))
+	}
 	if loop.lag == nil { // the first engine shows it for all
 		loop.lag = &e.Counts.Lag
 	}
@@ -199,6 +210,9 @@
 	if e.Meter != nil {
 		e.Meter.Answer(r.Class, outcome, e.Now()-r.came)
 	}
+	if outcome < len(e.Counts.Ended) {
+		e.Counts.Ended[outcome][r.Class]++
+	}
 	r.open = false
 	e.open--
 	e.forget(r)
@@ -212,6 +226,31 @@
 
 // Announce takes in news of the worker list.
 func (e *Engine) Announce(kind decide.ListKind, entries []Entry) {
+	if e.Overlay != nil && kind != decide.ListFailed {
+		entries = e.Overlay.Over(kind, entries)
+	}
+	if kind == decide.ListFailed {
+		e.Counts.ListFailed++
+	} else {
+		e.Counts.ListNews++
+	}
+	list := e.takeList(kind, entries)
+	e.call(func() { e.d.Announce(e.Now(), kind, list) })
+	e.forgetGone()
+}
+
+// Overlaid takes in entries that the overlay sees otherwise from now on. Discovery has not spoken: whether the watch
+// stands is not touched.
+func (e *Engine) Overlaid(entries []Entry) {
+	list := e.takeList(decide.ListDelta, entries)
+	e.call(func() { e.d.Overlaid(e.Now(), list) })
+	e.forgetGone()
+}
+
+// Avoided is how many workers that would take jobs the module leaves alone just now, whatever the job.
+func (e *Engine) Avoided() int { return e.d.Avoided(e.Now()) }
+
+func (e *Engine) takeList(kind decide.ListKind, entries []Entry) []decide.Worker {
 	list := make([]decide.Worker, 0, len(entries))
 	if kind == decide.ListFull || kind == decide.ListCached {
 		for _, w := range e.byName {
@@ -233,12 +272,10 @@
 		list = append(list, decide.Worker{ID: w.ID, Zone: index(e.zones, in.Zone), Kind: index(e.kinds, in.Kind),
 			Cell: in.Cell, State: in.State, Weight: in.Weight, StartedAt: in.StartedAt})
 	}
-	if kind == decide.ListFailed {
-		e.Counts.ListFailed++
-	} else {
-		e.Counts.ListNews++
-	}
-	e.call(func() { e.d.Announce(e.Now(), kind, list) })
+	return list
+}
+
+func (e *Engine) forgetGone() {
 	for name, w := range e.byName { // names come and go for as long as the scheduler runs
 		if w.State == decide.Gone && w.out == 0 {
 			delete(e.byName, name)
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"sync/atomic"
 	"time"
 
 	"weldscale/decide"
@@ -95,6 +96,7 @@
 // the same wall time always the same moment.
 type Loop struct {
 	queue chan func()
+	soon  chan func() // goes before the queue
 	start time.Time
 	wheel wheel
 	next  []func() // to run after the work at hand
@@ -105,7 +107,7 @@
 
 // NewLoop returns a loop that does not run yet.
 func NewLoop() *Loop {
-	return &Loop{queue: make(chan func(), 4096), ended: make(chan struct{}), start: time.Now()}
+	return &Loop{queue: make(chan func(), 4096), soon: make(chan func(), 64), ended: make(chan struct{}), start: time.Now()}
 }
 
 // Now is the present time in microseconds.
@@ -132,6 +134,38 @@
 	}
 }
 
+// Soon has f run before what waits in the queue, and reports whether it was, within the span. Where it was not it never
+// will be.
+func (l *Loop) Soon(span time.Duration, f func()) bool {
+	var claimed atomic.Bool // by the loop, or by giving up
+	done, late := make(chan struct{}), time.NewTimer(span)
+	defer late.Stop()
+	work := func() {
+		if claimed.CompareAndSwap(false, true) {
+			f()
+			close(done)
+		}
+	}
+	select {
+	case l.soon <- work:
+	case <-late.C:
+		return false
+	case <-l.ended:
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-late.C:
+	case <-l.ended:
+	}
+	if claimed.CompareAndSwap(false, true) {
+		return false
+	}
+	<-done // it has begun
+	return true
+}
+
 // Next runs f after the work at hand, before anything else. Only for code on the loop: what reports back to a caller
 // that is still at work goes this way.
 func (l *Loop) Next(f func()) { l.next = append(l.next, f) }
@@ -169,18 +203,29 @@
 			alarm.Reset(time.Until(l.start.Add(time.Duration(tick) * tickSpan)))
 			armed = tick
 		}
+		var work func()
 		select {
-		case f := <-l.queue:
+		case work = <-l.soon:
+		default:
+			select {
+			case work = <-l.soon:
+			case work = <-l.queue:
+			case <-alarm.C:
+				armed = -1
+			}
+		}
+		if work != nil {
 			began := time.Now()
-			f()
+			work()
 			l.settle()
 			if l.lag != nil {
 				*l.lag = max(*l.lag, time.Since(began))
 			}
-		case <-alarm.C:
-			armed = -1
 		}
 		l.wheel.advance(int64(time.Since(l.start) / tickSpan))
 		l.settle()
 	}
 }
+
+// SoonWaits is how many pieces of work wait before the queue.
+func (l *Loop) SoonWaits() int { return len(l.soon) }
--- a/internal/jobs/client.go
+++ b/internal/jobs/client.go
@@ -348,6 +348,7 @@
 		once: v.Engine.Class(j.Class).Effect == decide.Unsafe}
 	x.peer.Judge(now)
 	if x.s.shut {
+		v.Engine.Counts.Ended[1][j.Class]++
 		x.Refused(0)
 		return
 	}
@@ -357,6 +358,7 @@
 	}
 	if v.Pool != nil {
 		if no := v.Pool.Admit(now, j.Class, len(m.Body)); no.Refused() {
+			v.Engine.Counts.Ended[1][j.Class]++
 			x.answer(no.Status, []byte(no.Why+"\n"), retryAfter(time.Duration(no.After)*time.Microsecond)...)
 			return
 		}
--- /dev/null
+++ b/internal/jobs/overlay_test.go
@@ -0,0 +1,96 @@
+package jobs
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"weldscale/decide"
+	"weldscale/internal/engine"
+)
+
+// nowhere is workers and directory of an engine that sends nothing.
+type nowhere struct{}
+
+func (nowhere) Push(*engine.Attempt)   {}
+func (nowhere) Cancel(*engine.Attempt) {}
+func (nowhere) Probe(*engine.Probe)    {}
+func (nowhere) Watch(bool)             {}
+func (nowhere) Reload()                {}
+
+// Whatever the list says and whoever is taken out and put back, what the engine sends to is what a model says: listed as
+// ready and not out.
+func TestOverlayAgainstAModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e, err := engine.New(engine.NewLoop(), engine.Config{Settings: decide.Settings{Nodes: 1, Zones: 1, MaxAttempts: 1, ColdFrom: 1, FallMultiple: 1,
+			FallSpan: 1, Classes: []decide.Class{{Aim: 1, Deadline: 1, Kind: -1}}}})
+		require.NoError(t, err)
+		e.Use(nowhere{}, nowhere{})
+		o := NewOverlay(e)
+		list, out := map[string]decide.State{}, map[string]bool{}
+		name := rapid.Map(rapid.IntRange(0, 5), func(i int) string { return fmt.Sprint("w", i) })
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				kind := rapid.SampledFrom([]decide.ListKind{decide.ListDelta, decide.ListFull, decide.ListCached, decide.ListFailed}).Draw(t, "kind")
+				if kind == decide.ListFailed {
+					e.Announce(kind, nil)
+					break
+				}
+				if kind != decide.ListDelta {
+					clear(list)
+				}
+				var news []engine.Entry
+				for _, n := range rapid.SliceOfNDistinct(name, 0, 6, rapid.ID).Draw(t, "names") {
+					state := rapid.SampledFrom([]decide.State{decide.Ready, decide.Draining, decide.Gone}).Draw(t, "state")
+					news = append(news, engine.Entry{Name: n, Addr: n, State: state})
+					if list[n] = state; state == decide.Gone {
+						delete(list, n)
+					}
+				}
+				e.Announce(kind, news)
+			default:
+				n, away := name.Draw(t, "name"), rapid.Bool().Draw(t, "out")
+				_, listed := list[n]
+				assert.Equal(t, listed || out[n], o.Set(n, away))
+				if listed || out[n] {
+					if out[n] = away; !away {
+						delete(out, n)
+					}
+				}
+			}
+			want, got := map[string]bool{}, map[string]bool{}
+			excluded := 0
+			for n, state := range list {
+				if state == decide.Ready && !out[n] {
+					want[n] = true
+				}
+				if out[n] {
+					excluded++
+				}
+			}
+			e.Each(func(addr string) { got[addr] = true })
+			require.Equal(t, want, got)
+			require.Equal(t, []int{len(list), excluded}, []int{o.Known(), o.Excluded()})
+			require.Len(t, o.Names(), len(out))
+		}
+	})
+}
+
+func TestOverlayIsBounded(t *testing.T) {
+	e, err := engine.New(engine.NewLoop(), engine.Config{Settings: decide.Settings{Nodes: 1, Zones: 1, MaxAttempts: 1, ColdFrom: 1, FallMultiple: 1,
+		FallSpan: 1, Classes: []decide.Class{{Aim: 1, Deadline: 1, Kind: -1}}}})
+	require.NoError(t, err)
+	e.Use(nowhere{}, nowhere{})
+	o := NewOverlay(e)
+	for i := range 3 * maxOut {
+		e.Announce(decide.ListFull, []engine.Entry{{Name: fmt.Sprint(i), Addr: "x", State: decide.Ready}})
+		require.True(t, o.Set(fmt.Sprint(i), true))
+		require.LessOrEqual(t, len(o.Names()), maxOut)
+	}
+	assert.Contains(t, o.Names(), fmt.Sprint(3*maxOut-1), "those missing longest go first")
+	assert.NotContains(t, o.Names(), "0")
+}
--- a/internal/jobs/worker.go
+++ b/internal/jobs/worker.go
@@ -217,6 +217,9 @@
 
 // wrote takes in how the write on a connection ended.
 func (x *exchange) wrote(on Conn, end WriteEnd) {
+	if end == Written && x.attempt != nil {
+		x.w.Engine.Counts.Written++
+	}
 	switch {
 	case x.over || x.conn != on: // a second connection is in use by now
 	case x.probe != nil && (end != Written || x.early) && x.reconnect():
--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -54,6 +54,7 @@
 	own    account // of what is dialled on no service's account
 	open   atomic.Int64
 	room   atomic.Int64 // descriptors for connections
+	kept   int          // descriptors for the second address
 	ln     netpoll.Listener
 	watch  *watch // of descriptors that take no more just now
 	unsent int    // connections with bytes that the system has not taken
@@ -140,7 +141,13 @@
 }
 
 // SetDescriptors changes the budget of descriptors; what is open stays open until room is needed.
-func (d *Driver) SetDescriptors(n int) { d.room.Store(int64(n - reserved)) }
+func (d *Driver) SetDescriptors(n int) { d.room.Store(int64(n - reserved - d.kept)) }
+
+// KeepForSecond sets apart what the second address needs.
+func (d *Driver) KeepForSecond() {
+	d.kept = secondConns
+	d.room.Add(-secondConns)
+}
 
 type connKey struct{}
 
