Upgrades: a second process on the passed socket, idle connections passed on, bans in both

The new process takes the socket that GW_PASSED_SOCKET names and links to the old one over a Unix packet socket in the common directory. Both take from the listening socket; the stopping one leaves it and passes each connection of a client on whenever it is idle, while the poller reads nothing (net.Driver.Quiet). Workers taken out, and news of the list, go to both; memory and descriptors are halved while both live. None of this without a passed socket.

--- a/cmd/weldscale/config.go
+++ b/cmd/weldscale/config.go
@@ -38,6 +38,7 @@
 	Settings json.RawMessage `json:"settings"`
 
 	file           operator.File // the operator's
+	passed         int           // descriptor of the clients' listening socket; -1: we open our own
 	engine         engine.Config
 	classes        []string
 	reports        *jobs.Reports
@@ -65,6 +66,12 @@
 			*field = getenv(name)
 		}
 	}
+	c.passed = -1
+	if text := getenv("GW_PASSED_SOCKET"); text != "" {
+		if c.passed, err = strconv.Atoi(text); err != nil || c.passed < 3 {
+			return nil, fmt.Errorf("config: GW_PASSED_SOCKET: %q is not the number of a passed descriptor", text)
+		}
+	}
 	if c.Listen == "" || c.Discovery == "" {
 		return nil, errors.New("config: listen or discovery is missing")
 	}
@@ -193,7 +200,7 @@
 	if f.Scheduler == nil {
 		return nil, fmt.Errorf("config: GW_CONFIG is not set, and %s has no scheduler block to stand in for it", path)
 	}
-	c := &config{Name: f.Scheduler.Name, Listen: f.Scheduler.Listen, Known: json.RawMessage("{}"), file: f,
+	c := &config{Name: f.Scheduler.Name, Listen: f.Scheduler.Listen, Known: json.RawMessage("{}"), file: f, passed: -1,
 		engine: engine.Config{Settings: nobody, Seed: rand.Uint64()}, connectTimeout: time.Second, idleLimit: 10 * time.Second, reports: reports}
 	c.Limits.MemoryMB, c.Limits.Sockets = f.Scheduler.MemoryMB, f.Scheduler.Sockets
 	return c, nil
--- a/cmd/weldscale/operate.go
+++ b/cmd/weldscale/operate.go
@@ -86,6 +86,9 @@
 	if !known {
 		return mgmt.ErrUnknown
 	}
+	if o.s.up != nil {
+		return o.s.up.bind(worker, out)
+	}
 	return nil
 }
 
--- a/cmd/weldscale/serve.go
+++ b/cmd/weldscale/serve.go
@@ -71,7 +71,6 @@
 	// One core is ours. The second P lets the loop go on while the first waits in the poller's system call.
 	runtime.GOMAXPROCS(2)
 	debug.SetGCPercent(400) // live state is small; the limit below bounds what that lets pile up
-	setMemory(conf)
 	s, err := start(conf)
 	if err != nil {
 		return err
@@ -124,8 +123,6 @@
 	}
 }
 
-func setMemory(c *config) { debug.SetMemoryLimit(int64(c.Limits.MemoryMB) << 20 * 6 / 10) }
-
 // scheduler is the parts, wired.
 type scheduler struct {
 	c         *config // in force
@@ -135,6 +132,7 @@
 	server    *jobs.Server
 	overlay   *jobs.Overlay // of workers taken out by hand
 	second    *net.Second   // nil: the platform names no second address
+	up        *upgrade      // nil: the platform passes no listening socket
 	workers   *jobs.Workers
 	discovery *jobs.Discovery
 	services  map[string]*service // that the operator's file names
@@ -190,9 +188,13 @@
 	if err := s.apply(c.file); err != nil {
 		return nil, err
 	}
-	if err := driver.Listen(c.Listen); err != nil {
+	if err := s.listen(); err != nil {
 		return nil, err
 	}
+	s.shareLimits()
+	if s.up != nil {
+		discovery.News = s.up.tell
+	}
 	if c.Mgmt != "" {
 		driver.KeepForSecond()
 		s.second, err = net.ListenSecond(c.Mgmt, operate{s})
@@ -200,6 +202,17 @@
 	return s, err
 }
 
+// listen opens the door for clients, or goes on at the one that the platform passes.
+func (s *scheduler) listen() error {
+	if s.c.passed < 0 {
+		return s.driver.Listen(s.c.Listen)
+	}
+	if err := s.joinOthers(); err != nil {
+		return err
+	}
+	return s.driver.ListenOn(s.c.passed)
+}
+
 // reload puts a new configuration in force, as far as a running scheduler can: where discovery is and the
 // limits. Everything in hand goes on. One that can't be used changes nothing.
 func (s *scheduler) reload(c *config, err error) error {
@@ -218,10 +231,9 @@
 	slog.Info("new configuration", "discovery", c.Discovery, "restart_needed", c.Name != old.Name ||
 		c.Listen != old.Listen || !reflect.DeepEqual(c.engine.Settings, old.engine.Settings))
 	old.Discovery, old.Limits, old.file = c.Discovery, c.Limits, c.file
-	setMemory(old)
+	s.shareLimits()
 	s.server.Pace.SetLimits(c.file.SlowPeers)
 	s.workers.Pace = c.file.Workers
-	s.driver.SetDescriptors(c.Limits.Sockets)
 	s.discovery.Move(c.Discovery)
 	s.trace()
 	return nil
@@ -231,6 +243,9 @@
 func (s *scheduler) stop() {
 	if s.stopping.IsZero() {
 		s.stopping = time.Now()
+		if s.passOn() {
+			return
+		}
 		s.server.Closing()
 		s.stopped()
 	}
--- /dev/null
+++ b/cmd/weldscale/upgrade.go
@@ -0,0 +1,270 @@
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime/debug"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"weldscale/internal/handover"
+	"weldscale/internal/jobs"
+)
+
+// This file owns what two processes of this scheduler do for one another while one takes the other's place. It is at work
+// only where the platform passes the clients' listening socket. It must never end a connection that the other could take,
+// nor keep the stop waiting for the other.
+
+const (
+	passEvery = 20 * time.Millisecond
+	// passFor is how long after the signal a stopping process goes on passing connections; what is left then ends as
+	// it does where no other process is there.
+	passFor  = 3300 * time.Millisecond
+	bindWait = 200 * time.Millisecond // for another process to have a worker out too
+)
+
+// upgrade is the links to the other processes. The loop owns it but for waiting.
+type upgrade struct {
+	s     *scheduler
+	dir   string
+	node  *handover.Node
+	began int64
+	links []*handover.Link
+
+	number  atomic.Uint64
+	mu      sync.Mutex
+	waiting map[uint64]chan struct{} // for others' word that a worker is out
+
+	clients, failed int // connections passed on, and that the other did not take at once
+}
+
+// joinOthers takes this process's place among those of the scheduler, and takes over what the eldest knows.
+func (s *scheduler) joinOthers() error {
+	u := &upgrade{s: s, dir: os.TempDir(), began: time.Now().UnixMicro(), waiting: map[uint64]chan struct{}{}}
+	if err := s.driver.OpenDoor(); err != nil {
+		return err
+	}
+	out, err := handover.Saved(u.dir, s.c.Name)
+	if err != nil {
+		slog.Warn("workers taken out earlier can't be read: none are out", "why", err)
+	}
+	s.up = u
+	if u.node, err = handover.Open(u.dir, s.c.Name, u); err != nil {
+		return err
+	}
+	// Nothing else runs yet but what waits for the loop.
+	if elder := u.elder(); elder != nil {
+		out = elder.Out
+		if err := s.discovery.Known(elder.List); err != nil {
+			slog.Warn("the other process's list can't be read", "why", err)
+		}
+		slog.Info("beside another process", "process", elder.Process, "out", out, "list", s.discovery.Index())
+	}
+	s.overlay.Restore(out)
+	return nil
+}
+
+// elder is the process that has been there longest, of those that we linked to at our start.
+func (u *upgrade) elder() *handover.Hello {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var eldest *handover.Hello
+	for _, l := range u.links {
+		if eldest == nil || l.Other.Started < eldest.Started {
+			eldest = &l.Other
+		}
+	}
+	return eldest
+}
+
+// Hello implements handover.Handler.
+func (u *upgrade) Hello() handover.Hello {
+	h := handover.Hello{Started: u.began}
+	u.s.loop.Soon(callWait, func() {
+		h.Open, h.Out, h.List = u.s.driver.Open(), u.s.overlay.Names(), u.s.overlay.Listed(u.s.discovery.Index())
+	})
+	return h
+}
+
+// Linked implements handover.Handler.
+func (u *upgrade) Linked(l *handover.Link) {
+	u.mu.Lock()
+	u.links = append(u.links, l)
+	u.mu.Unlock()
+	go u.s.loop.Post(u.s.shareLimits)
+}
+
+// Gone implements handover.Handler.
+func (u *upgrade) Gone(l *handover.Link) {
+	u.mu.Lock()
+	u.links = slices.DeleteFunc(u.links, func(m *handover.Link) bool { return m == l })
+	u.mu.Unlock()
+	u.s.loop.Post(u.s.shareLimits)
+}
+
+func (u *upgrade) others() []*handover.Link {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Clone(u.links)
+}
+
+// successor is the youngest process that started after us.
+func (u *upgrade) successor() *handover.Link {
+	var youngest *handover.Link
+	for _, l := range u.others() {
+		if l.Other.Started > u.began && (youngest == nil || l.Other.Started > youngest.Other.Started) {
+			youngest = l
+		}
+	}
+	return youngest
+}
+
+// shareLimits puts this process's part of the memory and the descriptors in force: half of them while another lives, or
+// what it has open, if that is more; the whole otherwise.
+func (s *scheduler) shareLimits() {
+	memory, descriptors := int64(s.c.Limits.MemoryMB)<<20*6/10, s.c.Limits.Sockets
+	if s.up != nil {
+		for _, l := range s.up.others() {
+			memory /= 2
+			if l.Other.Started < s.up.began { // the elder keeps what it has
+				descriptors -= min(max(descriptors/2, l.Other.Open+32), descriptors*3/4)
+			} else {
+				descriptors = min(max(descriptors/2, s.driver.Open()+32), descriptors*3/4)
+			}
+		}
+	}
+	debug.SetMemoryLimit(memory)
+	s.driver.SetDescriptors(descriptors)
+}
+
+// Message implements handover.Handler.
+func (u *upgrade) Message(l *handover.Link, m handover.Message, fds []int) {
+	loop := u.s.loop
+	switch m.Kind {
+	case handover.KindOut:
+		if loop.Soon(callWait, func() { u.s.setOut(m.Worker, m.Away) }) {
+			l.Say(handover.Message{Kind: handover.KindDone, Number: m.Number})
+		}
+	case handover.KindDone:
+		u.mu.Lock()
+		if done := u.waiting[m.Number]; done != nil {
+			delete(u.waiting, m.Number)
+			close(done)
+		}
+		u.mu.Unlock()
+	case handover.KindList:
+		loop.Soon(callWait, func() {
+			if err := u.s.discovery.Told(m.Index, m.List); err != nil {
+				slog.Warn("another process's news can't be read", "why", err)
+			}
+		})
+	case handover.KindClient:
+		if len(fds) == 1 {
+			fd := fds[0]
+			fds = nil
+			loop.Post(func() { u.s.driver.Adopt(fd, u.s.server.Serve) })
+		}
+	default:
+		slog.Warn("another process says what this one does not know", "kind", m.Kind)
+	}
+	for _, fd := range fds {
+		unix.Close(fd)
+	}
+}
+
+// bind has a worker out, or back, in the other processes too, and keeps it for those to come. A process that does not
+// answer hangs and sends nothing; it hears of this before anything else once it goes on.
+func (u *upgrade) bind(worker string, out bool) error {
+	var all []chan struct{}
+	for _, l := range u.others() {
+		n, done := u.number.Add(1), make(chan struct{})
+		u.mu.Lock()
+		u.waiting[n] = done
+		u.mu.Unlock()
+		l.Say(handover.Message{Kind: handover.KindOut, Number: n, Worker: worker, Away: out})
+		all = append(all, done)
+		defer func() { u.mu.Lock(); delete(u.waiting, n); u.mu.Unlock() }()
+	}
+	late := time.After(bindWait)
+	for _, done := range all {
+		select {
+		case <-done:
+		case <-late:
+			slog.Warn("another process does not say that it has a worker out", "worker", worker, "out", out)
+			late = nil
+		}
+		if late == nil {
+			break
+		}
+	}
+	var names []string
+	if !u.s.loop.Soon(bindWait, func() { names = u.s.overlay.Names() }) {
+		return nil // the call is in force; the file follows with the next one
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if err := handover.Save(u.dir, u.s.c.Name, names); err != nil {
+		return fmt.Errorf("taken out, but not kept for another process: %w", err)
+	}
+	return nil
+}
+
+// tell passes on news of the worker list.
+func (u *upgrade) tell(index int64, list []byte) {
+	for _, l := range u.others() {
+		l.Say(handover.Message{Kind: handover.KindList, Index: index, List: list})
+	}
+}
+
+// passOn begins to pass connections on to the process that takes our place, and reports whether there is one.
+func (s *scheduler) passOn() bool {
+	if s.up == nil || s.up.successor() == nil {
+		return false
+	}
+	s.driver.Leave()
+	s.up.pass()
+	return true
+}
+
+// pass gives away what can be given, again and again until nothing is left or there is no time.
+func (u *upgrade) pass() {
+	s := u.s
+	to := u.successor()
+	if to == nil || time.Since(s.stopping) > passFor { // as where there never was one
+		slog.Warn("connections left at the stop", "other", to != nil, "peers", s.server.Pace.Counts().Peers, "open", s.inHand())
+		s.server.Closing()
+		s.stopped()
+		return
+	}
+	s.driver.Quiet(func() {
+		left := s.server.PassIdle(func(c jobs.Conn) bool { return u.give(to, c, handover.Message{Kind: handover.KindClient}) })
+		if left == 0 && s.inHand() == 0 && s.driver.Unsent() == 0 {
+			slog.Info("all passed on", "clients", u.clients, "again", u.failed, "took", time.Since(s.stopping))
+			s.loop.After(lastWords, s.loop.Stop)
+			return
+		}
+		s.loop.After(passEvery, u.pass)
+	})
+}
+
+// give passes one client's connection. One that the other does not take at once stays ours.
+func (u *upgrade) give(to *handover.Link, c jobs.Conn, m handover.Message) bool {
+	fd, ok := jobs.Detach(c)
+	if !ok {
+		return false
+	}
+	err := to.Give(m, fd)
+	if err != nil {
+		u.failed++
+		u.s.driver.Adopt(fd, u.s.server.Serve)
+		return true
+	}
+	u.clients++
+	unix.Close(fd)
+	return true
+}
--- a/decide/events.go
+++ b/decide/events.go
@@ -14,10 +14,11 @@
 	wakeLook
 )
 
-// Overlaid takes in entries that the caller sees otherwise from now on, though the worker list has not spoken.
-func (d *Dispatcher) Overlaid(now Time, list []Worker) {
+// TakeNews takes in entries that the caller sees otherwise from now on, though the worker list has not answered: whether
+// the watch stands is not touched.
+func (d *Dispatcher) TakeNews(now Time, kind ListKind, list []Worker) {
 	d.tick(now)
-	d.takeList(ListDelta, list)
+	d.takeList(kind, list)
 }
 
 // ProbeResult takes in the answer to a probe.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -243,7 +243,19 @@
 // stands is not touched.
 func (e *Engine) Overlaid(entries []Entry) {
 	list := e.takeList(decide.ListDelta, entries)
-	e.call(func() { e.d.Overlaid(e.Now(), list) })
+	e.call(func() { e.d.TakeNews(e.Now(), decide.ListDelta, list) })
+	e.forgetGone()
+}
+
+// Told takes in news of the list that another process of this scheduler has heard: the overlay goes over it, and whether
+// our own watch stands is not touched.
+func (e *Engine) Told(kind decide.ListKind, entries []Entry) {
+	if e.Overlay != nil {
+		entries = e.Overlay.Over(kind, entries)
+	}
+	e.Counts.ListNews++
+	list := e.takeList(kind, entries)
+	e.call(func() { e.d.TakeNews(e.Now(), kind, list) })
 	e.forgetGone()
 }
 
--- a/internal/jobs/client.go
+++ b/internal/jobs/client.go
@@ -105,6 +105,17 @@
 	return len(victims)
 }
 
+// PassIdle gives away every connection that is between two requests, as far as give takes it: from then on it is another's.
+// Only while nothing is read from any. It returns how many connections are left.
+func (s *Server) PassIdle(give func(Conn) bool) int {
+	for _, p := range s.Pace.Idle() {
+		if x := p.Owner.(*client); !x.busy && x.parser.Idle() && len(x.ahead) == 0 && give(x.conn) {
+			x.end()
+		}
+	}
+	return s.Pace.Counts().Peers
+}
+
 // CloseIdle closes every connection that is between two requests.
 func (s *Server) CloseIdle() {
 	for _, p := range s.Pace.Idle() {
--- a/internal/jobs/discovery.go
+++ b/internal/jobs/discovery.go
@@ -48,12 +48,16 @@
 	// Cadence is how far apart the calls of this scheduler are.
 	Cadence Cadence
 
+	// News, if set, is told what this process has heard of discovery, in the form of its answers.
+	News func(index int64, list []byte)
+
 	called  bool          // a call was made, or waits
 	waiting *engine.Timer // for the moment of the next call
 	index   int64
 	foreign bool // the index is not this discovery's: only a whole list can tell where we stand
 	on      bool
 	calling *listCall
+	toldAt  decide.Time // when another process last told us of newer news than ours
 }
 
 // Cadence decides how far apart a scheduler's calls are. Discovery is one service for all and handles calls one after
@@ -144,18 +148,20 @@
 
 // list is a list answer or the known list of the configuration.
 type list struct {
-	Index     int64 `json:"index"`
-	Snapshot  bool  `json:"snapshot"`
-	Endpoints []struct {
-		Name    string  `json:"name"`
-		Address string  `json:"address"`
-		Zone    string  `json:"zone"`
-		Type    string  `json:"type"`
-		Group   int     `json:"group"`
-		Status  string  `json:"status"`
-		Weight  float64 `json:"weight"`
-		SinceMS float64 `json:"since_ms"`
-	} `json:"endpoints"`
+	Index     int64      `json:"index"`
+	Snapshot  bool       `json:"snapshot"`
+	Endpoints []endpoint `json:"endpoints"`
+}
+
+type endpoint struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	Type    string  `json:"type"`
+	Group   int     `json:"group"`
+	Status  string  `json:"status"`
+	Weight  float64 `json:"weight"`
+	SinceMS float64 `json:"since_ms"`
 }
 
 var states = map[string]decide.State{"SERVING": decide.Ready, "DRAINING": decide.Draining, "DELETED": decide.Gone}
@@ -214,6 +220,27 @@
 	return nil
 }
 
+// Index is the version of the list that this process has.
+func (d *Discovery) Index() int64 { return d.index }
+
+// Told takes in news that another process of this scheduler has heard. What is older than ours says nothing.
+func (d *Discovery) Told(index int64, text []byte) error {
+	var l list
+	if err := json.Unmarshal(text, &l); err != nil {
+		return err
+	}
+	if index <= d.index || d.foreign {
+		return nil
+	}
+	d.index, d.toldAt = index, d.Engine.Now()
+	kind := decide.ListDelta
+	if l.Snapshot {
+		kind = decide.ListFull
+	}
+	d.Engine.Told(kind, l.entries())
+	return nil
+}
+
 // Watch implements engine.Directory.
 func (d *Discovery) Watch(on bool) {
 	d.on = on
@@ -373,11 +400,19 @@
 	if queued {
 		d.Engine.Counts.ListWait = max(d.Engine.Counts.ListWait, took)
 	}
+	stale := d.toldAt > x.began && l.Index < d.index // another process has told us more meanwhile
+	if stale {
+		l.Index = d.index
+	} else if d.News != nil && (l.Snapshot || len(l.Endpoints) > 0) {
+		d.News(l.Index, x.body)
+	}
 	d.index, d.foreign = l.Index, false
 	if d.on {
 		d.later(false)
 	}
 	switch {
+	case stale:
+		d.Engine.Announce(decide.ListDelta, nil)
 	case l.Snapshot || x.reload:
 		d.Engine.Announce(decide.ListFull, l.entries())
 	case x.first || len(l.Endpoints) > 0:
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -33,6 +33,20 @@
 	Peer() netip.Addr
 }
 
+// Detachable is a connection that can leave the process.
+type Detachable interface {
+	// Detach gives up the connection and returns its descriptor; not where bytes of it are under way here.
+	Detach() (fd int, ok bool)
+}
+
+// Detach gives up a connection, if it can be.
+func Detach(c Conn) (fd int, ok bool) {
+	if d, can := c.(Detachable); can {
+		return d.Detach()
+	}
+	return -1, false
+}
+
 // Handler takes what a connection brings.
 type Handler interface {
 	Data([]byte)
--- a/internal/jobs/overlay.go
+++ b/internal/jobs/overlay.go
@@ -1,6 +1,8 @@
 package jobs
 
 import (
+	"cmp"
+	"encoding/json"
 	"slices"
 
 	"weldscale/decide"
@@ -123,6 +125,25 @@
 	o.sortGone()
 }
 
+// Listed is the list's last word, in discovery's form.
+func (o *Overlay) Listed(index int64) []byte {
+	l := list{Index: index, Snapshot: true, Endpoints: make([]endpoint, 0, len(o.listed))}
+	for _, e := range o.listed {
+		status := "SERVING"
+		if e.State != decide.Ready {
+			status = "DRAINING"
+		}
+		l.Endpoints = append(l.Endpoints, endpoint{Name: e.Name, Address: e.Addr, Zone: e.Zone, Type: e.Kind, Group: e.Cell,
+			Status: status, Weight: e.Weight, SinceMS: float64(e.StartedAt) / 1000})
+	}
+	slices.SortFunc(l.Endpoints, func(a, b endpoint) int { return cmp.Compare(a.Name, b.Name) })
+	text, err := json.Marshal(l)
+	if err != nil { // a weight that JSON has no word for
+		return []byte(`{"snapshot":true}`)
+	}
+	return text
+}
+
 // Known is how many workers the list names.
 func (o *Overlay) Known() int { return len(o.listed) }
 
--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"maps"
 	"net/netip"
 	"os"
@@ -56,6 +55,8 @@
 	room   atomic.Int64 // descriptors for connections
 	kept   int          // descriptors for the second address
 	ln     netpoll.Listener
+	shared *shared // in place of ln
+	door   *door
 	watch  *watch // of descriptors that take no more just now
 	unsent int    // connections with bytes that the system has not taken
 
@@ -143,6 +144,9 @@
 // SetDescriptors changes the budget of descriptors; what is open stays open until room is needed.
 func (d *Driver) SetDescriptors(n int) { d.room.Store(int64(n - reserved - d.kept)) }
 
+// Open is how many descriptors are in use, with those that are set apart.
+func (d *Driver) Open() int { return int(d.open.Load()) + reserved + d.kept }
+
 // KeepForSecond sets apart what the second address needs.
 func (d *Driver) KeepForSecond() {
 	d.kept = secondConns
@@ -190,6 +194,8 @@
 	watched    uint64  // the number that the watch knows it by; 0: it does not
 	closeAfter bool
 
+	reading atomic.Int32 // hand-overs of bytes to the loop that are under way
+
 	mu       sync.Mutex
 	released bool // the descriptor may be another's by now
 }
@@ -289,6 +295,8 @@
 
 // read hands on what has come and waits until the loop has taken it: the bytes are netpoll's.
 func (c *Conn) read(nc netpoll.Connection) {
+	c.reading.Add(1)
+	defer c.reading.Add(-1)
 	r := nc.Reader()
 	n := r.Len()
 	if c.deaf.Load() {
@@ -329,42 +337,22 @@
 	if err := syscall.SetsockoptInt(ln.Fd(), syscall.SOL_SOCKET, syscall.SO_SNDBUF, transmit); err != nil {
 		return err
 	}
-	loop, err := netpoll.NewEventLoop(
-		func(ctx context.Context, nc netpoll.Connection) error { return nil },
-		netpoll.WithOnPrepare(func(nc netpoll.Connection) context.Context {
-			if d.open.Add(1) > d.room.Load()-margin {
-				d.loop.Do(d.makeRoom) // the rest of a burst waits with the system meanwhile
-			}
-			if d.open.Load() > d.room.Load() {
-				d.open.Add(-1)
-				_ = nc.Close()
-				return nil
-			}
-			c := &Conn{d: d, nc: nc, handler: discard{}, leaving: make(chan struct{})}
-			d.loop.Post(func() {
-				if !c.ended {
-					d.Accepted(c)
-				}
-			})
-			c.wire()
-			return context.WithValue(context.Background(), connKey{}, c)
-		}))
-	if err != nil {
-		return err
-	}
-	go func() {
-		if err := loop.Serve(ln); err != nil {
-			slog.Info("listener closed", "why", err)
-		}
-	}()
-	return nil
+	return d.serve(ln)
 }
 
 // Addr is the address that Listen took.
-func (d *Driver) Addr() string { return d.ln.Addr().String() }
+func (d *Driver) Addr() string {
+	if d.shared != nil {
+		return d.shared.Addr().String()
+	}
+	return d.ln.Addr().String()
+}
 
 // StopListening refuses new connections from here on.
 func (d *Driver) StopListening() {
+	if d.Leave() {
+		return
+	}
 	// Not ln.Close: netpoll would close the descriptor twice, and the number may be another's by then.
 	_ = syscall.Shutdown(d.ln.Fd(), syscall.SHUT_RD)
 }
