Where many share discovery a scheduler polls; a watch is renewed within 120 ms

The sender n98 had its answer at 8.818 s, ten workers left the list at 8.91 s, told counts as 9.01 s, and its next call came at 17.34 s. A watch counts as standing for 200 ms after its answer, so a change within them is told, asked for or not; Discovery.later paused up to 8.5 s there. Ruled out: lost answers and failed calls (none in 282 logs), a push that waited for its connection (12 ms from draw to attempt).

Change: calls after which a scheduler leaves the others their turn ask for the whole list and are no watch; a watch's answer is followed by its renewal within 120 ms.

--- a/internal/jobs/discovery.go
+++ b/internal/jobs/discovery.go
@@ -29,6 +29,10 @@
 	callShare = 90 * time.Millisecond
 	// burst is what discovery is let to work off at once: schedulers that all ask within it harm nobody.
 	burst = 800 * time.Millisecond
+	// renewal is how soon after its answer a watch is renewed at the latest. For 200 ms it counts as standing, so that a
+	// change within them counts as told: a pause there once had schedulers send to workers for seconds that they had
+	// "been told" were gone.
+	renewal = 120 * time.Millisecond
 	// maxHold keeps a watch whose connection has died unseen from leaving us deaf for long.
 	maxHold = 20 * time.Second
 	// maxList bounds a list answer; a thousand workers take about a quarter of it.
@@ -122,6 +126,14 @@
 	return min(time.Duration(2*luck*float64(max(0, c.Span()-burst))), most)
 }
 
+// Renew is how long to wait after the answer of a watch: Pause, but never so long that the watch has ended and what changed
+// meanwhile counts as told.
+func (c *Cadence) Renew(luck float64) time.Duration { return min(c.Pause(luck), renewal) }
+
+// Polls reports whether the scheduler has to leave the others their turn between two calls. Then it must ask for the whole
+// list and not watch.
+func (c *Cadence) Polls() bool { return min(c.Span(), c.all()) > burst }
+
 // Hold is how long discovery may sit on a call: the more share it, the longer.
 func (c *Cadence) Hold(luck float64) time.Duration {
 	hold := min(max(watchHold, 5*c.Span()), maxHold)
@@ -245,7 +257,7 @@
 func (d *Discovery) Watch(on bool) {
 	d.on = on
 	if on && d.calling == nil && d.waiting == nil {
-		d.later(true)
+		d.later(true, false)
 	}
 }
 
@@ -258,10 +270,13 @@
 }
 
 // later makes the next call of the watch when it is our turn.
-func (d *Discovery) later(first bool) {
+func (d *Discovery) later(first, watched bool) {
 	next := d.Cadence.Pause
-	if !d.called {
+	switch {
+	case !d.called:
 		next = d.Cadence.First
+	case watched:
+		next = d.Cadence.Renew
 	}
 	d.called = true
 	pause := next(d.luck())
@@ -298,7 +313,7 @@
 }
 
 func (d *Discovery) call(first, reload bool) {
-	reload = reload || d.foreign
+	reload = reload || d.foreign || d.Cadence.Polls()
 	d.waiting.Stop()
 	d.waiting = nil
 	x := &listCall{d: d, addr: d.Addr, began: d.Engine.Now(), first: first, reload: reload, parser: http1.NewResponseParser()}
@@ -408,7 +423,7 @@
 	}
 	d.index, d.foreign = l.Index, false
 	if d.on {
-		d.later(false)
+		d.later(false, !x.reload)
 	}
 	switch {
 	case stale:
