Upgrades pass jobs in hand on, with the client's and the worker's connection

Change: from 1.5 s after the signal jobs in hand go to the other process: the client's connection, the attempt's, what has come of its answer (read again there, 8 KB at most) and what the module has behind it (decide.Held, Adopt). Copies are closed here only once the packet is on its way. Passed clients are known ones to the pace.

Tests of real processes: three in a row under load with a press-send that outlasts two stops, a ban at either process, four broken starts, a process killed outright, files that make no sense.

--- a/cmd/weldscale/serve.go
+++ b/cmd/weldscale/serve.go
@@ -166,6 +166,8 @@
 	discovery := &jobs.Discovery{Engine: e, Dialer: driver, Addr: c.Discovery, Rand: rand.New(rand.NewPCG(c.engine.Seed, 1)),
 		Cadence: jobs.Cadence{Nodes: c.engine.Settings.Nodes, Ask: time.Duration(c.engine.Settings.AskWithin) * time.Microsecond}}
 	workers := &jobs.Workers{Engine: e, Dialer: driver, Reports: c.reports, Host: "app.svc", Pace: c.file.Workers}
+	workers.Keep = c.passed >= 0
+	server.Main.Workers = workers
 	overlay := jobs.NewOverlay(e)
 	e.Use(workers, discovery)
 	if err := discovery.Known(c.Known); err != nil {
--- a/cmd/weldscale/services.go
+++ b/cmd/weldscale/services.go
@@ -57,7 +57,8 @@
 	dials := s.driver.Dialer(conf.Connections)
 	v := &service{conf: conf, e: e, dials: dials, jobs: jobs.NewService(conf.Name, e, conf.ClassNames()), stop: func() {}}
 	v.overlay = jobs.NewOverlay(e)
-	workers := &jobs.Workers{Engine: e, Dialer: dials, Reports: reports, Host: conf.Name, Service: conf.Name, Pace: s.c.file.Workers}
+	workers := &jobs.Workers{Engine: e, Dialer: dials, Reports: reports, Host: conf.Name, Service: conf.Name, Pace: s.c.file.Workers, Keep: s.c.passed >= 0}
+	v.jobs.Workers = workers
 	switch {
 	case conf.Discovery != "":
 		d := &jobs.Discovery{Engine: e, Dialer: s.driver, Addr: conf.Discovery, Service: conf.Name}
--- a/cmd/weldscale/upgrade.go
+++ b/cmd/weldscale/upgrade.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"os"
@@ -22,6 +23,9 @@
 
 const (
 	passEvery = 20 * time.Millisecond
+	// jobsFrom is how long after the signal jobs in hand are answered where they are; those that are left then are passed
+	// on, since a job of many seconds would be cut off.
+	jobsFrom = 1500 * time.Millisecond
 	// passFor is how long after the signal a stopping process goes on passing connections; what is left then ends as
 	// it does where no other process is there.
 	passFor  = 3300 * time.Millisecond
@@ -40,7 +44,7 @@
 	mu      sync.Mutex
 	waiting map[uint64]chan struct{} // for others' word that a worker is out
 
-	clients, failed int // connections passed on, and that the other did not take at once
+	clients, jobs, failed int // connections passed on, with a job in hand, and that the other did not take at once
 }
 
 // joinOthers takes this process's place among those of the scheduler, and takes over what the eldest knows.
@@ -167,8 +171,17 @@
 		if len(fds) == 1 {
 			fd := fds[0]
 			fds = nil
-			loop.Post(func() { u.s.driver.Adopt(fd, u.s.server.Serve) })
+			loop.Post(func() { u.s.driver.Adopt(fd, u.s.server.ServeKnown) })
 		}
+	case handover.KindJob:
+		p := new(jobs.PassedJob)
+		if err := json.Unmarshal(m.Job, p); err != nil || len(fds) == 0 {
+			slog.Error("another process's job can't be read", "why", err, "descriptors", len(fds))
+			break
+		}
+		got := fds
+		fds = nil
+		loop.Post(func() { u.adopt(p, got) })
 	default:
 		slog.Warn("another process says what this one does not know", "kind", m.Kind)
 	}
@@ -177,6 +190,35 @@
 	}
 }
 
+// adopt goes on with a job of another process: the client's connection comes first, a worker's second.
+func (u *upgrade) adopt(p *jobs.PassedJob, fds []int) {
+	s := u.s
+	v := s.server.Main
+	if p.Service != "" {
+		if named := s.services[p.Service]; named != nil {
+			v = named.jobs
+		}
+	}
+	closeWorker := func() {
+		for _, fd := range fds[1:] {
+			unix.Close(fd)
+		}
+	}
+	s.driver.Adopt(fds[0], func(c jobs.Conn) {
+		if c == nil { // the client has gone: so does the attempt
+			closeWorker()
+			return
+		}
+		var worker jobs.Conn
+		for _, t := range p.Job.Tried {
+			if t.Out && len(fds) > 1 {
+				worker = s.driver.AdoptWorker(t.Addr, fds[1])
+			}
+		}
+		s.server.Adopt(v, p, c, worker)
+	})
+}
+
 // bind has a worker out, or back, in the other processes too, and keeps it for those to come. A process that does not
 // answer hangs and sends nothing; it hears of this before anything else once it goes on.
 func (u *upgrade) bind(worker string, out bool) error {
@@ -242,9 +284,19 @@
 		return
 	}
 	s.driver.Quiet(func() {
-		left := s.server.PassIdle(func(c jobs.Conn) bool { return u.give(to, c, handover.Message{Kind: handover.KindClient}) })
+		left := s.server.PassIdle(func(c jobs.Conn) bool {
+			ok := u.give(to, handover.Message{Kind: handover.KindClient}, c)
+			if ok {
+				u.clients++
+			}
+			return ok
+		})
+		if time.Since(s.stopping) > jobsFrom {
+			s.server.PassJobs(u.giveJob(to))
+			left = s.server.Pace.Counts().Peers
+		}
 		if left == 0 && s.inHand() == 0 && s.driver.Unsent() == 0 {
-			slog.Info("all passed on", "clients", u.clients, "again", u.failed, "took", time.Since(s.stopping))
+			slog.Info("all passed on", "clients", u.clients, "jobs", u.jobs, "again", u.failed, "took", time.Since(s.stopping))
 			s.loop.After(lastWords, s.loop.Stop)
 			return
 		}
@@ -252,19 +304,48 @@
 	})
 }
 
-// give passes one client's connection. One that the other does not take at once stays ours.
-func (u *upgrade) give(to *handover.Link, c jobs.Conn, m handover.Message) bool {
-	fd, ok := jobs.Detach(c)
-	if !ok {
-		return false
+// giveJob passes a client's connection with its job, and the attempt's.
+func (u *upgrade) giveJob(to *handover.Link) func(*jobs.PassedJob, jobs.Conn, jobs.Conn) bool {
+	return func(p *jobs.PassedJob, client, worker jobs.Conn) bool {
+		text, err := json.Marshal(p)
+		if err != nil {
+			slog.Error("a job can't be passed on", "why", err)
+			return false
+		}
+		conns := []jobs.Conn{client}
+		if worker != nil {
+			conns = append(conns, worker)
+		}
+		ok := u.give(to, handover.Message{Kind: handover.KindJob, Job: text}, conns...)
+		if ok {
+			u.jobs++
+		}
+		return ok
 	}
-	err := to.Give(m, fd)
-	if err != nil {
+}
+
+// give passes connections, all or none. Those that the other does not take at once stay ours.
+func (u *upgrade) give(to *handover.Link, m handover.Message, conns ...jobs.Conn) bool {
+	var fds []int
+	defer func() {
+		for _, fd := range fds {
+			unix.Close(fd)
+		}
+	}()
+	for _, c := range conns {
+		p, can := c.(jobs.Passable)
+		if !can {
+			return false
+		}
+		fd, ok := p.Copy()
+		if !ok {
+			return false
+		}
+		fds = append(fds, fd)
+	}
+	if err := to.Give(m, fds...); err != nil {
 		u.failed++
-		u.s.driver.Adopt(fd, u.s.server.Serve)
-		return true
+		return false
 	}
-	u.clients++
-	unix.Close(fd)
 	return true
 }
--- /dev/null
+++ b/cmd/weldscale/upgrade_test.go
@@ -0,0 +1,265 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"weldscale/internal/standin"
+)
+
+// place is where processes of one scheduler run: a listening socket that is passed to each, and a common directory.
+type place struct {
+	t      *testing.T
+	dir    string
+	socket *os.File
+	addr   string
+	site   standin.Site
+}
+
+// process is one of them.
+type process struct {
+	p    *place
+	cmd  *exec.Cmd
+	mgmt string
+	said strings.Builder
+}
+
+func newPlace(t *testing.T, d *standin.Discovery) *place {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	socket, err := ln.(*net.TCPListener).File()
+	require.NoError(t, err)
+	ln.Close()
+	t.Cleanup(func() { socket.Close() })
+	// Longer than a socket's name may be.
+	dir := filepath.Join(t.TempDir(), strings.Repeat("long", 20))
+	require.NoError(t, os.Mkdir(dir, 0o700))
+	return &place{t: t, dir: dir, socket: socket, addr: ln.Addr().String(),
+		site: standin.Site{Listen: ln.Addr().String(), Discovery: d.Addr(), Known: d.Known()}}
+}
+
+// run starts a process; what it is told differs by env.
+func (p *place) run(env ...string) *process {
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free
+	require.NoError(p.t, err)
+	ln.Close()
+	x := &process{p: p, mgmt: ln.Addr().String(), cmd: exec.Command(os.Args[0])}
+	config := filepath.Join(p.t.TempDir(), "config.json")
+	writeConfig(p.t, config, p.site)
+	x.cmd.Env = append(append(os.Environ(), "WELDSCALE_TEST=program", "GW_CONFIG="+config, "GW_MGMT="+x.mgmt, "TMPDIR="+p.dir,
+		"GW_PASSED_SOCKET=3"), env...)
+	x.cmd.ExtraFiles, x.cmd.Stderr = []*os.File{p.socket}, &x.said
+	require.NoError(p.t, x.cmd.Start())
+	p.t.Cleanup(func() {
+		if x.cmd.ProcessState == nil {
+			_ = x.cmd.Process.Kill()
+			_ = x.cmd.Wait()
+		}
+		if p.t.Failed() {
+			p.t.Log(x.said.String())
+		}
+	})
+	return x
+}
+
+// ready waits until the process says so.
+func (x *process) ready() *process {
+	require.Eventually(x.p.t, func() bool {
+		resp, err := http.Get("http://" + x.mgmt + "/control/ready")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == 200
+	}, patience, 5*time.Millisecond)
+	return x
+}
+
+func (x *process) hand(worker, verb string) int {
+	resp, err := http.Post("http://"+x.mgmt+"/control/workers/"+worker+"/"+verb, "", nil)
+	require.NoError(x.p.t, err)
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// stop ends the process as a platform does, and expects it to end well.
+func (x *process) stop() {
+	require.NoError(x.p.t, x.cmd.Process.Signal(syscall.SIGTERM))
+	assert.NoError(x.p.t, x.cmd.Wait(), x.said.String())
+}
+
+// crowd is clients that ask one job after another, each on a connection that it keeps.
+type crowd struct {
+	stop   atomic.Bool
+	wg     sync.WaitGroup
+	mu     sync.Mutex
+	served int
+	other  map[string]int
+	dials  atomic.Int64
+}
+
+func (p *place) crowd(name string, n int) *crowd {
+	c := &crowd{other: map[string]int{}}
+	for i := range n {
+		c.wg.Go(func() {
+			transport := &http.Transport{DialContext: (&counting{&c.dials}).dial}
+			defer transport.CloseIdleConnections()
+			client := &http.Client{Timeout: patience, Transport: transport}
+			for k := 0; !c.stop.Load(); k++ {
+				id := fmt.Sprint(name, i, "-", k)
+				status, body, err := standin.Ask(client, p.addr, "", id,
+					&standin.Kind{Class: "send", Budget: patience, Body: 5})
+				c.mu.Lock()
+				if err == nil && status == 200 && body == "made of "+id {
+					c.served++
+				} else {
+					c.other[fmt.Sprint(status, " ", err)]++
+				}
+				c.mu.Unlock()
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	return c
+}
+
+// done is how many jobs were served, once all have ended.
+func (c *crowd) done() (served int, other map[string]int) {
+	c.stop.Store(true)
+	c.wg.Wait()
+	return c.served, c.other
+}
+
+// Three processes take one another's place under load: no job is lost, turned back or run twice, kept connections live on,
+// a job that must not run twice and outlasts the stop is answered, and who was taken out stays out.
+func TestUpgradesUnderLoad(t *testing.T) {
+	release := make(chan struct{})
+	work := func(c standin.WorkerConfig) *standin.Worker {
+		c.Slots, c.TellsStart = 64, true
+		return startWorker(t, c)
+	}
+	out := work(standin.WorkerConfig{Name: "out"})
+	w := work(standin.WorkerConfig{Name: "w", Answer: func(r *http.Request, c net.Conn) {
+		id := r.Header.Get("X-Call-Id")
+		if id != "long" {
+			time.Sleep(5 * time.Millisecond)
+			standin.Done(r, c)
+			return
+		}
+		head := []byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		_, _ = c.Write(standin.AppendLines(head, fmt.Sprintf(`{"id":%q,"state":"started"}`, id)))
+		<-release
+		_, _ = c.Write(append(standin.AppendLines(nil, fmt.Sprintf(`{"id":%q,"state":"done","result":"at last"}`, id)), "0\r\n\r\n"...))
+	}})
+	p := newPlace(t, startDiscovery(t, w.Entry("SERVING"), out.Entry("SERVING")))
+	first := p.run().ready()
+	require.Equal(t, 200, first.hand("out", "offline"))
+	last := make(chan string)
+	go func() {
+		status, body, err := standin.Ask(&http.Client{Timeout: patience}, p.addr, "", "long", &standin.Kind{Class: "send", Budget: patience, Body: 9})
+		last <- fmt.Sprint(status, body, err)
+	}()
+	require.Eventually(t, func() bool { return slices.Contains(w.IDs(), "long") }, patience, time.Millisecond)
+	c := p.crowd("c", 8)
+	second := p.run().ready()
+	first.stop()
+	assert.Contains(t, first.said.String(), `"msg":"all passed on"`)
+	third := p.run().ready()
+	require.Equal(t, 404, third.hand("nobody", "offline"))
+	second.stop()
+	assert.Contains(t, second.said.String(), `"jobs":1`, "the long job went on twice")
+	close(release)
+	assert.Equal(t, "200at last<nil>", <-last)
+	served, other := c.done()
+	assert.Greater(t, served, 100)
+	assert.Empty(t, other)
+	assert.EqualValues(t, 8, c.dials.Load(), "kept connections live on")
+	assert.Empty(t, out.IDs(), "taken out two processes ago")
+	ids := w.IDs()
+	slices.Sort(ids)
+	assert.Len(t, slices.Compact(slices.Clone(ids)), len(ids), "no job ran twice")
+	require.Equal(t, 200, third.hand("out", "online"))
+	third.stop()
+}
+
+// counting dials and counts.
+type counting struct{ n *atomic.Int64 }
+
+func (d *counting) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	d.n.Add(1)
+	return (&net.Dialer{}).DialContext(ctx, network, addr)
+}
+
+// A call at one process binds the other: who is taken out at the new one gets nothing from the old one either.
+func TestTakenOutInBothProcesses(t *testing.T) {
+	a, b := startWorker(t, standin.WorkerConfig{Name: "a"}), startWorker(t, standin.WorkerConfig{Name: "b"})
+	p := newPlace(t, startDiscovery(t, a.Entry("SERVING"), b.Entry("SERVING")))
+	older := p.run().ready()
+	younger := p.run().ready()
+	require.Equal(t, 200, younger.hand("a", "offline"))
+	c := p.crowd("e", 4) // both take connections
+	time.Sleep(300 * time.Millisecond)
+	_, other := c.done()
+	assert.Empty(t, other)
+	assert.Empty(t, a.IDs())
+	require.Equal(t, 200, older.hand("a", "online"))
+	c = p.crowd("f", 4)
+	require.Eventually(t, func() bool { return len(a.IDs()) > 0 }, patience, time.Millisecond)
+	_, other = c.done()
+	assert.Empty(t, other)
+}
+
+// A new process that can't start changes nothing, and one that is killed outright leaves no trace but its ban.
+func TestBrokenUpgrades(t *testing.T) {
+	a, b := startWorker(t, standin.WorkerConfig{Name: "a"}), startWorker(t, standin.WorkerConfig{Name: "b"})
+	p := newPlace(t, startDiscovery(t, a.Entry("SERVING"), b.Entry("SERVING")))
+	old := p.run().ready()
+	for env, says := range map[string]string{"GW_PASSED_SOCKET=9": "descriptor 9 is no listening socket", "GW_PASSED_SOCKET=x": "is not the number",
+		"GW_CONFIG=/nowhere": "no such file", "GW_MGMT=" + old.mgmt: "address already in use"} {
+		broken := p.run(env)
+		err := broken.cmd.Wait()
+		assert.Error(t, err, env)
+		assert.Contains(t, broken.said.String(), says)
+	}
+	c := p.crowd("k", 2)
+	time.Sleep(50 * time.Millisecond)
+	served, other := c.done()
+	assert.Positive(t, served)
+	assert.Empty(t, other)
+	require.Equal(t, 200, old.hand("a", "offline"))
+	require.NoError(t, old.cmd.Process.Kill())
+	_ = old.cmd.Wait()
+	seen := len(a.IDs())
+	next := p.run().ready()
+	c = p.crowd("l", 2)
+	time.Sleep(50 * time.Millisecond)
+	served, other = c.done()
+	assert.Positive(t, served)
+	assert.Empty(t, other)
+	assert.Len(t, a.IDs(), seen, "out before the kill")
+
+	// A file that makes no sense is a line in the log.
+	require.NoError(t, next.cmd.Process.Kill())
+	_ = next.cmd.Wait()
+	for _, text := range []string{`{"v":1,"out":["a"`, `{"v":99,"out":["a"]}`, `hello`} {
+		require.NoError(t, os.WriteFile(filepath.Join(p.dir, "weldscale-n0.out"), []byte(text), 0o600))
+		x := p.run().ready()
+		x.stop()
+		assert.Contains(t, x.said.String(), "workers taken out earlier can't be read")
+	}
+}
--- a/internal/engine/counts.go
+++ b/internal/engine/counts.go
@@ -15,6 +15,8 @@
 	// Ended is jobs by how they ended (0 served, 1 refused, 2 failed) and class; also those that were refused before
 	// they became requests.
 	Ended [3][]int
+	// PassedOn and Adopted are requests that went to another process of this scheduler and that came from one.
+	PassedOn, Adopted int
 	// Written is attempts that were written whole to workers.
 	Written                         int
 	BadRequests                     int // answered 4xx or 5xx without becoming a request
@@ -34,8 +36,8 @@
 // String gives the counters as name=value words, those that are zero left out of the lists by outcome.
 func (c *Counts) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "taken=%d served=%d refused=%d failed=%d hangups=%d bad_requests=%d pushes=%d",
-		c.Taken, c.Served, c.Refused, c.Failed, c.Hangups, c.BadRequests, c.Pushes)
+	fmt.Fprintf(&b, "taken=%d served=%d refused=%d failed=%d hangups=%d passed_on=%d adopted=%d bad_requests=%d pushes=%d",
+		c.Taken, c.Served, c.Refused, c.Failed, c.Hangups, c.PassedOn, c.Adopted, c.BadRequests, c.Pushes)
 	for _, l := range []struct {
 		name string
 		n    *[decide.Moot + 1]int
--- /dev/null
+++ b/internal/engine/pass.go
@@ -0,0 +1,104 @@
+package engine
+
+import (
+	"time"
+
+	"weldscale/decide"
+)
+
+// This file owns requests that leave for another process of this scheduler, or come from one, with what they have behind
+// them. It must never leave one request in two processes' hands.
+
+// Passed is a request in hand as another process goes on with it. Times are of the loop's clock, which starts at the wall
+// clock's reading.
+type Passed struct {
+	Class         int
+	Key           uint64
+	GiveUpAt      decide.Time
+	Came          decide.Time
+	Hint          decide.Time
+	Slots, Memory float64
+	Tried         []Tried
+}
+
+// Tried is one attempt of it.
+type Tried struct {
+	Worker, Addr    string
+	Sent, StartedAt decide.Time
+	Out, Started    bool
+	MayHaveRun      bool
+}
+
+// Out returns the attempt of the request that is out, or nil.
+func (r *Request) Out() *Attempt {
+	for _, a := range r.attempts {
+		if !a.over {
+			return a
+		}
+	}
+	return nil
+}
+
+// Passed returns what another process needs to go on with a request; not where more than one attempt is out.
+func (e *Engine) Passed(r *Request) (p Passed, ok bool) {
+	j, tried, ok := e.d.Held(r.ID)
+	if !ok || !r.open || r.out > 1 || len(tried) != len(r.attempts) {
+		return p, false
+	}
+	p = Passed{Class: r.Class, Key: j.Key, GiveUpAt: r.GiveUpAt, Came: r.came, Hint: j.Hint, Slots: j.Slots, Memory: j.Memory}
+	for i, t := range tried {
+		w := r.attempts[i].Worker
+		p.Tried = append(p.Tried, Tried{w.Name, w.Addr, t.Sent, t.StartedAt, t.Out, t.Started, t.MayHaveRun})
+	}
+	return p, true
+}
+
+// Release ends a request here, without an answer: another process has it.
+func (e *Engine) Release(r *Request) {
+	if r.open {
+		e.Counts.PassedOn++
+		e.finish(r, 3)
+		e.call(func() { e.d.Hangup(e.Now(), r.ID) })
+	}
+}
+
+// Adopt goes on with a request of another process, and returns its attempt that is out, if there is one.
+func (e *Engine) Adopt(p Passed, payload any, c Client) (*Request, *Attempt) {
+	e.lastID++
+	for e.lastID == 0 || e.requests[e.lastID] != nil {
+		e.lastID++
+	}
+	r := &Request{ID: e.lastID, Class: p.Class, GiveUpAt: p.GiveUpAt, Payload: payload, client: c, came: p.Came, open: true}
+	e.requests[r.ID] = r
+	e.open++
+	e.Counts.Taken++
+	e.Counts.Adopted++
+	var out *Attempt
+	tried := make([]decide.Tried, len(p.Tried))
+	for i, t := range p.Tried {
+		w := e.byName[t.Worker]
+		if w == nil { // the list has lost it
+			e.nextID++
+			w = &Worker{ID: e.nextID, Name: t.Worker, Addr: t.Addr, State: decide.Gone}
+			e.byName[t.Worker], e.byID[w.ID] = w, w
+		}
+		tried[i] = decide.Tried{Worker: w.ID, Sent: t.Sent, StartedAt: t.StartedAt, Out: t.Out, Started: t.Started, MayHaveRun: t.MayHaveRun}
+		a := &Attempt{Request: r, Worker: w, n: i, sentAt: t.Sent, over: !t.Out, e: e}
+		r.attempts = append(r.attempts, a)
+		if t.Out {
+			out = a
+			r.out++
+			w.out++
+			a.timer = e.After(time.Duration(p.GiveUpAt-e.Now())*time.Microsecond, func() {
+				e.workers.Cancel(a)
+				a.End(decide.TimedOut, nil, decide.Report{})
+			})
+		}
+	}
+	if e.Trace != nil {
+		e.Trace("adopted", r.ID, "class", p.Class, "left_us", p.GiveUpAt-e.Now(), "attempts", len(tried), "out", out != nil)
+	}
+	j := decide.Job{ID: r.ID, Class: p.Class, Key: p.Key, GiveUpAt: p.GiveUpAt, Hint: p.Hint, Slots: p.Slots, Memory: p.Memory}
+	e.call(func() { e.d.Adopt(e.Now(), j, tried) })
+	return r, out
+}
--- a/internal/jobs/client.go
+++ b/internal/jobs/client.go
@@ -39,6 +39,7 @@
 	Name    string
 	Engine  *engine.Engine
 	Classes map[string]int
+	Workers *Workers   // nil: no attempts of other processes are adopted
 	Pool    *pool.Pool // nil: no limits but the server's
 }
 
@@ -83,10 +84,7 @@
 
 // Serve takes over a new connection of a client.
 func (s *Server) Serve(c Conn) {
-	x := &client{s: s, conn: c, parser: http1.NewRequestParser()}
-	x.peer = s.Pace.Open(s.Loop.Now(), c.Peer(), x)
-	x.arm()
-	c.SetHandler(x)
+	s.open(c).arm()
 }
 
 // Closing makes every answer from here on its connection's last.
@@ -105,17 +103,6 @@
 	return len(victims)
 }
 
-// PassIdle gives away every connection that is between two requests, as far as give takes it: from then on it is another's.
-// Only while nothing is read from any. It returns how many connections are left.
-func (s *Server) PassIdle(give func(Conn) bool) int {
-	for _, p := range s.Pace.Idle() {
-		if x := p.Owner.(*client); !x.busy && x.parser.Idle() && len(x.ahead) == 0 && give(x.conn) {
-			x.end()
-		}
-	}
-	return s.Pace.Counts().Peers
-}
-
 // CloseIdle closes every connection that is between two requests.
 func (s *Server) CloseIdle() {
 	for _, p := range s.Pace.Idle() {
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -33,18 +33,10 @@
 	Peer() netip.Addr
 }
 
-// Detachable is a connection that can leave the process.
-type Detachable interface {
-	// Detach gives up the connection and returns its descriptor; not where bytes of it are under way here.
-	Detach() (fd int, ok bool)
-}
-
-// Detach gives up a connection, if it can be.
-func Detach(c Conn) (fd int, ok bool) {
-	if d, can := c.(Detachable); can {
-		return d.Detach()
-	}
-	return -1, false
+// Passable is a connection that can leave the process.
+type Passable interface {
+	// Copy returns a copy of its descriptor, the caller's; not where bytes of it are under way here.
+	Copy() (fd int, ok bool)
 }
 
 // Handler takes what a connection brings.
--- /dev/null
+++ b/internal/jobs/pass.go
@@ -0,0 +1,148 @@
+package jobs
+
+import (
+	"weldscale/decide"
+	"weldscale/internal/engine"
+	"weldscale/internal/http1"
+)
+
+// This file owns clients' connections that go to another process of this scheduler or come from one, with the job in hand
+// and the attempt that is out. It must never pass what it can't pass whole, and what was passed is no longer answered here.
+
+// maxRaw is how much of a worker's answer may have come for its attempt to be passed: the other process reads it again.
+const maxRaw = 8 << 10
+
+// PassedJob is a client's connection with a job in hand, and the attempt that is out.
+type PassedJob struct {
+	Service   string        `json:"service"`
+	Class     string        `json:"class"`
+	Method    string        `json:"method"`
+	Target    string        `json:"target"`
+	ID        string        `json:"id"`
+	Key       string        `json:"key"`
+	Body      []byte        `json:"body"`
+	KeepAlive bool          `json:"keep_alive"`
+	Ahead     []byte        `json:"ahead"` // what the client has sent beyond
+	Job       engine.Passed `json:"job"`
+	Answer    []byte        `json:"answer"` // what has come of the worker's
+}
+
+// PassIdle gives away every connection that is between two requests, as far as give takes it: from then on it is another's.
+// Only while nothing is read from any. It returns how many connections are left.
+func (s *Server) PassIdle(give func(c Conn) bool) int {
+	for _, p := range s.Pace.Idle() {
+		if x := p.Owner.(*client); !x.busy && x.parser.Idle() && len(x.ahead) == 0 && give(x.conn) {
+			x.close()
+		}
+	}
+	return s.Pace.Counts().Peers
+}
+
+// PassJobs gives away every connection with a job in hand of which no byte is under way here; worker is nil where no attempt
+// is out. Only while nothing is read from any.
+func (s *Server) PassJobs(give func(p *PassedJob, client, worker Conn) bool) {
+	for _, peer := range s.Pace.Working() {
+		x := peer.Owner.(*client)
+		if x.request == nil || x.over {
+			continue
+		}
+		p, worker, ok := x.passed()
+		if ok && give(p, x.conn, worker) {
+			r, v := x.request, x.service
+			x.request = nil
+			s.release(x)
+			v.Engine.Release(r) // its attempt goes with it, and our copies of its connections
+			x.close()
+		}
+	}
+}
+
+// passed is a client's connection as it goes to another process.
+func (x *client) passed() (p *PassedJob, worker Conn, ok bool) {
+	in, ok := x.service.Engine.Passed(x.request)
+	if !ok {
+		return nil, nil, false
+	}
+	c := x.request.Payload.(*call)
+	p = &PassedJob{Service: x.service.Name, Method: c.method, Target: c.target, ID: c.id, Key: c.key, Body: c.body,
+		KeepAlive: x.keepAlive, Ahead: x.ahead, Job: in}
+	for name, i := range x.service.Classes {
+		if i == x.class {
+			p.Class = name
+		}
+	}
+	if a := x.request.Out(); a != nil {
+		e, is := a.State.(*exchange)
+		if !is || e.over || !e.written || e.early || e.lastLine || e.conn == nil || len(e.raw) > maxRaw {
+			return nil, nil, false
+		}
+		p.Answer, worker = e.raw, e.conn
+	}
+	return p, worker, true
+}
+
+// ServeKnown takes over a connection of another process's client, between two requests.
+func (s *Server) ServeKnown(c Conn) {
+	if c == nil {
+		return
+	}
+	x := s.open(c)
+	x.peer.Vouched(s.Loop.Now())
+	x.arm()
+}
+
+// Adopt goes on with a job of another process; worker is the connection of its attempt, or nil.
+func (s *Server) Adopt(v *Service, p *PassedJob, c, worker Conn) {
+	x := s.open(c)
+	now := s.Loop.Now()
+	x.peer.Vouched(now)
+	class, known := v.Classes[p.Class]
+	x.busy, x.keepAlive = true, p.KeepAlive
+	x.ahead = append(x.ahead, p.Ahead...)
+	x.peer.Work(now)
+	if !known || s.taken(p.ID) { // it may have run, and can't be followed
+		if worker != nil {
+			worker.Close()
+		}
+		x.Failed()
+		return
+	}
+	s.claim(x, p.ID)
+	x.service, x.class = v, class
+	p.Job.Class = class
+	_ = x.hold(len(p.Body) + len(p.Target))
+	in := &call{method: p.Method, target: p.Target, id: p.ID, key: p.Key, body: p.Body, once: v.Engine.Class(class).Effect == decide.Unsafe}
+	r, a := v.Engine.Adopt(p.Job, in, x)
+	if x.id != "" { // not answered already
+		x.request = r
+	}
+	if v.Engine.Trace != nil {
+		v.Engine.Trace("taken", r.ID, "call_id", p.ID, "target", p.Target, "addr", c.Peer())
+	}
+	if a != nil {
+		v.Workers.adopt(a, worker, p.Answer)
+	}
+}
+
+// adopt goes on with an attempt of another process. What has come of its answer is read again.
+func (w *Workers) adopt(a *engine.Attempt, c Conn, answer []byte) {
+	x := w.exchange(a.Worker)
+	x.attempt, a.State = a, x
+	if c == nil {
+		x.end(decide.Reset) // its connection was lost on the way
+		return
+	}
+	x.written, x.conn = true, c
+	c.SetHandler(x)
+	if len(answer) > 0 {
+		x.Data(answer)
+	}
+}
+
+// open makes a client of a connection.
+func (s *Server) open(c Conn) *client {
+	x := &client{s: s, conn: c, parser: http1.NewRequestParser()}
+	x.peer = s.Pace.Open(s.Loop.Now(), c.Peer(), x)
+	c.SetHandler(x)
+	return x
+}
--- a/internal/jobs/worker.go
+++ b/internal/jobs/worker.go
@@ -36,6 +36,9 @@
 	// and nothing is asked of it.
 	Pace pace.Rate
 
+	// Keep has what comes of an answer kept, so that its attempt can be passed on.
+	Keep bool
+
 	probing map[*engine.Worker][]*exchange // probes not answered yet
 }
 
@@ -60,6 +63,7 @@
 	lookAt   decide.Time
 	untaken  int // bytes of the request, as last seen
 	line     []byte
+	raw      []byte // of the answer, as far as it may be passed on
 	result   []byte
 	status   decide.Status
 	report   decide.Report
@@ -239,6 +243,9 @@
 	if x.over {
 		return
 	}
+	if x.w.Keep && x.attempt != nil && len(x.raw) <= maxRaw {
+		x.raw = append(x.raw, b...)
+	}
 	n, whole, err := x.parser.Feed(b)
 	if x.over {
 		return
--- a/internal/net/door.go
+++ b/internal/net/door.go
@@ -159,11 +159,12 @@
 	return err
 }
 
-// Adopt takes over a client's connection of another process, on the loop: taker gets it in place of Accepted.
+// Adopt takes over a client's connection of another process: taker gets it on the loop, in place of Accepted, or nil.
 func (d *Driver) Adopt(fd int, taker func(jobs.Conn)) {
 	remote, err := unix.Getpeername(fd)
 	if err != nil { // the client has gone meanwhile
 		unix.Close(fd)
+		taker(nil)
 		return
 	}
 	unix.CloseOnExec(fd)
@@ -172,9 +173,24 @@
 	})
 }
 
-// Detach takes a connection away from the driver and returns its descriptor, which is the caller's from here on. It does
-// not where bytes wait to be sent or have been read and not handed on. Only within Quiet.
-func (c *Conn) Detach() (fd int, ok bool) {
+// AdoptWorker takes over a connection to a worker of another process, that the attempt on it goes on with.
+func (d *Driver) AdoptWorker(addr string, fd int) jobs.Conn {
+	unix.CloseOnExec(fd)
+	nc, err := netpoll.NewFDConnection(fd)
+	if err != nil {
+		slog.Warn("a worker's connection can't be taken over", "worker", addr, "why", err)
+		unix.Close(fd)
+		return nil
+	}
+	d.open.Add(1)
+	d.own.open.Add(1)
+	c := &Conn{d: d, nc: nc, handler: discard{}, leaving: make(chan struct{}), host: d.host(addr), account: &d.own}
+	c.wire()
+	return c
+}
+
+// Copy implements jobs.Passable. Only within Quiet.
+func (c *Conn) Copy() (fd int, ok bool) {
 	if c.ended || c.closed.Load() || len(c.out) > 0 || c.closeAfter || !c.nc.IsActive() || c.reading.Load() > 0 || c.nc.Reader().Len() > 0 {
 		return -1, false
 	}
@@ -185,7 +201,6 @@
 	if err != nil {
 		return -1, false
 	}
-	c.Close()
 	return fd, true
 }
 
--- a/internal/pace/keeper.go
+++ b/internal/pace/keeper.go
@@ -228,6 +228,12 @@
 	}
 }
 
+// Vouched takes in that the peer is a known one, between two requests: its past was with another process.
+func (p *Peer) Vouched(now Time) {
+	p.stop(now)
+	p.phase, p.known, p.rested = Resting, true, now
+}
+
 // Work takes in that the request has come whole: nothing is asked of the peer until it is answered.
 func (p *Peer) Work(now Time) {
 	p.stop(now)
@@ -456,6 +462,17 @@
 	return out
 }
 
+// Working lists those with a request in hand.
+func (k *Keeper) Working() []*Peer {
+	var out []*Peer
+	for _, p := range k.peers {
+		if p.phase == Working {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // ranked lists who may be let go, the first to go first. Peers of the prefix that holds most go before others.
 func (k *Keeper) ranked(now Time, strangersOnly bool) []*Peer {
 	type candidate struct {
