--- a/decide/harness_test.go
+++ b/decide/harness_test.go
@@ -292,9 +292,33 @@
 	if w.rng.IntN(400) == 0 { // every worker restarts at once, or all drain, and the whole list comes
 		w.restartAll(State(1 + w.rng.IntN(2)))
 	}
+	if w.rng.IntN(200) == 0 {
+		w.pass()
+	}
 	w.overdue()
 }
 
+// pass has another dispatcher go on with all that this one holds, as at an upgrade: the rules hold over both.
+func (w *world) pass() {
+	d, err := New(w.s, w.rng.Uint64(), &w.rec)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.timers, w.probes, w.pending = nil, nil, 0
+	d.Announce(w.now, ListCached, w.workers)
+	for _, j := range w.order {
+		in, tried, ok := w.d.Held(j.ID)
+		if ok == j.over {
+			w.broken("job %d: held %v, over %v", j.ID, ok, j.over)
+		}
+		if ok {
+			d.Adopt(w.now, in, tried)
+		}
+	}
+	w.d = d
+	w.drain()
+}
+
 func (w *world) answerProbes() {
 	keep := w.probes[:0:0]
 	for _, p := range w.probes {
