--- a/cmd/weldscale/upgrade.go
+++ b/cmd/weldscale/upgrade.go
@@ -61,13 +61,14 @@
 	if u.node, err = handover.Open(u.dir, s.c.Name, u); err != nil {
 		return err
 	}
+	slog.SetDefault(slog.Default().With("process", u.node.Process)) // two may write to one log
 	// Nothing else runs yet but what waits for the loop.
 	if elder := u.elder(); elder != nil {
 		out = elder.Out
 		if err := s.discovery.Known(elder.List); err != nil {
 			slog.Warn("the other process's list can't be read", "why", err)
 		}
-		slog.Info("beside another process", "process", elder.Process, "out", out, "list", s.discovery.Index())
+		slog.Info("beside another process", "other", elder.Process, "out", out, "list", s.discovery.Index())
 	}
 	s.overlay.Restore(out)
 	return nil
@@ -278,7 +279,7 @@
 	s := u.s
 	to := u.successor()
 	if to == nil || time.Since(s.stopping) > passFor { // as where there never was one
-		slog.Warn("connections left at the stop", "other", to != nil, "peers", s.server.Pace.Counts().Peers, "open", s.inHand())
+		slog.Warn("connections left at the stop", "other_lives", to != nil, "peers", s.server.Pace.Counts().Peers, "open", s.inHand())
 		s.server.Closing()
 		s.stopped()
 		return
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -177,7 +177,7 @@
 	for {
 		m, fds, err := l.read(b)
 		if err != nil {
-			slog.Info("handover: link ended", "process", l.Other.Process, "why", err)
+			slog.Info("handover: link ended", "other", l.Other.Process, "why", err)
 			l.Close()
 			n.handler.Gone(l)
 			return
@@ -232,7 +232,7 @@
 	select {
 	case l.queue <- b:
 	default:
-		slog.Warn("handover: the other process takes nothing", "process", l.Other.Process)
+		slog.Warn("handover: the other process takes nothing", "other", l.Other.Process)
 		l.Close()
 	}
 }
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -18,7 +18,7 @@
 	"golang.org/x/term"
 )
 
-// Of each kind of line (its level and text) the first few of a second are written, and then one of so many.
+// Of each kind of line (its level and text) above debug the first few of a second are written, and then one of so many.
 const (
 	First = 5
 	Then  = 1000
@@ -48,13 +48,17 @@
 		c.EncodeTime, c.EncodeLevel = zapcore.TimeEncoderOfLayout("15:04:05.000"), zapcore.CapitalColorLevelEncoder
 		encoder = zapcore.NewConsoleEncoder(c)
 	}
-	core := zapcore.NewSamplerWithOptions(zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(w)), level), time.Second, First, Then,
+	out := zapcore.Lock(zapcore.AddSync(w))
+	// Who asks for debug lines follows requests, and one that lacks lines can't be followed.
+	all := zapcore.NewCore(encoder, out, zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l == zapcore.DebugLevel && level.Enabled(l) }))
+	rest := zapcore.NewCore(encoder, out, zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l > zapcore.DebugLevel && level.Enabled(l) }))
+	core := zapcore.NewSamplerWithOptions(rest, time.Second, First, Then,
 		zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
 			if d&zapcore.LogDropped != 0 {
 				dropped.Add(1)
 			}
 		}))
-	slog.SetDefault(slog.New(zapslog.NewHandler(core)))
+	slog.SetDefault(slog.New(zapslog.NewHandler(zapcore.NewTee(all, core))))
 	return nil
 }
 
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -39,6 +39,11 @@
 	assert.True(t, Debug())
 	slog.Debug("attempt", "request", 7)
 	assert.Contains(t, out.String(), `attempt	{"request": 7}`)
+	out.Reset()
+	for range 500 {
+		slog.Debug("attempt")
+	}
+	assert.Equal(t, 500, strings.Count(out.String(), "attempt"), "a request that lacks lines can't be followed")
 	for _, bad := range []string{"loud", "panic", "fatal"} {
 		assert.ErrorContains(t, SetLevel(bad), "allowed: debug, info, warn, error")
 	}
