--- a/cmd/weldscale/upgrade.go
+++ b/cmd/weldscale/upgrade.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"weldscale/internal/engine"
 	"weldscale/internal/handover"
 	"weldscale/internal/jobs"
 )
@@ -68,6 +69,11 @@
 		if err := s.discovery.Known(elder.List); err != nil {
 			slog.Warn("the other process's list can't be read", "why", err)
 		}
+		var l engine.Learnt
+		if err := json.Unmarshal(elder.Learnt, &l); err != nil {
+			slog.Warn("what the other process has learnt can't be read", "why", err)
+		}
+		s.e.Learn(l)
 		slog.Info("beside another process", "other", elder.Process, "out", out, "list", s.discovery.Index())
 	}
 	s.overlay.Restore(out)
@@ -91,6 +97,11 @@
 func (u *upgrade) Hello() handover.Hello {
 	h := handover.Hello{Started: u.began}
 	u.s.loop.Soon(callWait, func() {
+		var err error
+		if h.Learnt, err = json.Marshal(u.s.e.Learnt()); err != nil {
+			slog.Warn("what was learnt can't be passed on", "why", err)
+			h.Learnt = json.RawMessage("{}")
+		}
 		h.Open, h.Out, h.List = u.s.driver.Open(), u.s.overlay.Names(), u.s.overlay.Listed(u.s.discovery.Index())
 	})
 	return h
--- a/decide/harness_test.go
+++ b/decide/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"testing"
 )
 
@@ -306,6 +307,11 @@
 	}
 	w.timers, w.probes, w.pending = nil, nil, 0
 	d.Announce(w.now, ListCached, w.workers)
+	want := w.d.Learnt()
+	d.Learn(w.now, want)
+	if got := d.Learnt(); !sameLearnt(got, want) {
+		w.broken("learnt %+v, passed on %+v", got, want)
+	}
 	for _, j := range w.order {
 		in, tried, ok := w.d.Held(j.ID)
 		if ok == j.over {
@@ -319,6 +325,21 @@
 	w.drain()
 }
 
+// sameLearnt compares all but the order of the workers, and those that only one of the two lists.
+func sameLearnt(a, b Learnt) bool {
+	known := map[WorkerID]LearntOfWorker{}
+	for _, w := range a.Workers {
+		known[w.ID] = w
+	}
+	for _, w := range b.Workers {
+		if k, ok := known[w.ID]; ok && k != w {
+			return false
+		}
+	}
+	a.Workers, b.Workers = nil, nil
+	return reflect.DeepEqual(a, b)
+}
+
 func (w *world) answerProbes() {
 	keep := w.probes[:0:0]
 	for _, p := range w.probes {
--- a/decide/pass.go
+++ b/decide/pass.go
@@ -1,5 +1,10 @@
 package decide
 
+import (
+	"maps"
+	"slices"
+)
+
 // What a job in hand has behind it, for a dispatcher that goes on with it in another process. Nothing is decided here.
 
 // Tried is one attempt of a job.
@@ -56,3 +61,68 @@
 		d.drawPair(j)
 	}
 }
+
+// Learnt is what a dispatcher has learnt of the fleet since its start. Workers go by their IDs; moments are of the clock
+// that both dispatchers share.
+type Learnt struct {
+	Runs    []float64        `json:"runs"` // mean run of each class, in us
+	Run     float64          `json:"run"`
+	Share   float64          `json:"share"`
+	Bear    [2]float64       `json:"bear"`
+	Lag     Time             `json:"lag"`
+	Looked  float64          `json:"looked"`
+	Changed float64          `json:"changed"`
+	Usual   []float64        `json:"usual"` // median time of a probe, by zone
+	Sizes   map[int]float64  `json:"sizes"` // slots of a worker, by kind
+	Price   float64          `json:"price"`
+	Busy    float64          `json:"busy"`
+	Workers []LearntOfWorker `json:"workers"`
+}
+
+// LearntOfWorker is what it has learnt of one worker.
+type LearntOfWorker struct {
+	ID        WorkerID `json:"-"`
+	StartedAt Time     `json:"started_at"` // of another process of the worker nothing is known
+	Size      float64  `json:"size"`
+	BadUntil  Time     `json:"bad_until"`
+	FullUntil Time     `json:"full_until"`
+	Level     int      `json:"level"`
+	Broken    int      `json:"broken"`
+	Denied    int      `json:"denied"`
+	Lost      int      `json:"lost"`
+}
+
+// Learnt returns what was learnt so far.
+func (d *Dispatcher) Learnt() Learnt {
+	l := Learnt{Runs: slices.Clone(d.runs), Run: d.run, Share: d.share, Bear: d.bear, Lag: d.lag, Looked: d.looked, Changed: d.changed,
+		Usual: slices.Clone(d.usual), Sizes: maps.Clone(d.sizes), Price: d.price, Busy: d.busy}
+	for _, w := range d.listed {
+		l.Workers = append(l.Workers, LearntOfWorker{w.ID, w.StartedAt, w.size, w.badUntil, w.fullUntil, w.level, w.broken, w.denied, w.lost})
+	}
+	return l
+}
+
+// Learn goes on from what another dispatcher with the same settings has learnt; what does not fit these is passed over.
+func (d *Dispatcher) Learn(now Time, l Learnt) {
+	d.tick(now)
+	if len(l.Runs) != len(d.runs) || len(l.Usual) != len(d.usual) || !(l.Changed > 0) || !(l.Run > 0) || !(l.Price > 0) || l.Lag <= 0 {
+		return
+	}
+	copy(d.runs, l.Runs)
+	copy(d.usual, l.Usual)
+	d.run, d.share, d.bear, d.price, d.busy = l.Run, min(max(l.Share, 0), 1), l.Bear, l.Price, min(max(l.Busy, 0), 1)
+	d.lag, d.looked, d.changed = min(l.Lag, lagMost), l.Looked, l.Changed
+	d.measured = 1
+	for kind, size := range l.Sizes {
+		d.sizes[kind] = size
+	}
+	for _, in := range l.Workers {
+		w := d.workers[in.ID]
+		if w == nil || w.StartedAt != in.StartedAt {
+			continue
+		}
+		w.size, w.badUntil, w.fullUntil = in.Size, min(in.BadUntil, now+2*ejectMax), min(in.FullUntil, now+2*ejectMax)
+		w.level, w.broken, w.denied, w.lost = in.Level, in.Broken, in.Denied, in.Lost
+		w.credit, w.creditAt = 0, now // the other dispatcher spends what it has saved up
+	}
+}
--- a/internal/engine/pass.go
+++ b/internal/engine/pass.go
@@ -102,3 +102,38 @@
 	e.call(func() { e.d.Adopt(e.Now(), j, tried) })
 	return r, out
 }
+
+// Learnt is what the decisions have learnt, with workers by their names.
+type Learnt struct {
+	decide.Learnt
+	Names []string `json:"names"` // of Workers
+}
+
+// Learnt returns what was learnt so far.
+func (e *Engine) Learnt() Learnt {
+	l := Learnt{Learnt: e.d.Learnt()}
+	for _, w := range l.Workers {
+		name := ""
+		if known := e.byID[w.ID]; known != nil {
+			name = known.Name
+		}
+		l.Names = append(l.Names, name)
+	}
+	return l
+}
+
+// Learn goes on from what another process has learnt.
+func (e *Engine) Learn(l Learnt) {
+	if len(l.Names) != len(l.Workers) {
+		return
+	}
+	var known []decide.LearntOfWorker
+	for i, w := range l.Workers {
+		if here := e.byName[l.Names[i]]; here != nil {
+			w.ID = here.ID
+			known = append(known, w)
+		}
+	}
+	l.Workers = known
+	e.call(func() { e.d.Learn(e.Now(), l.Learnt) })
+}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -23,7 +23,7 @@
 		m := Message{Kind: rapid.SampledFrom([]Kind{KindHello, KindOut, KindDone, KindList, KindClient, KindJob}).Draw(t, "kind"),
 			Number: rapid.Uint64().Draw(t, "number"), Worker: word.Draw(t, "worker"), Away: rapid.Bool().Draw(t, "away"),
 			Job:   json.RawMessage(`{"id":"x"}`),
-			Hello: &Hello{Process: word.Draw(t, "process"), Started: rapid.Int64().Draw(t, "started"), Out: rapid.SliceOfN(word, 1, 4).Draw(t, "out"), List: json.RawMessage(`{}`)}}
+			Hello: &Hello{Process: word.Draw(t, "process"), Started: rapid.Int64().Draw(t, "started"), Out: rapid.SliceOfN(word, 1, 4).Draw(t, "out"), List: json.RawMessage(`{}`), Learnt: json.RawMessage(`{}`)}}
 		b, err := Encode(m)
 		require.NoError(t, err)
 		got, err := Decode(b)
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -51,6 +51,7 @@
 	Open    int             `json:"open"`    // descriptors in use
 	Out     []string        `json:"out"`     // workers taken out by hand
 	List    json.RawMessage `json:"list"`    // in discovery's form
+	Learnt  json.RawMessage `json:"learnt"`  // what the decisions have learnt of the fleet
 }
 
 // Encode returns a message as a packet.
