One way for all calls: the control socket answers those of the second address; commands for them

weldscale ready, counters, offline and online speak to the control socket or the second address. Tests: a job passes wherever the worker's answer is cut, news of another process, an old process killed while it passes on.

--- a/cmd/weldscale/cli_test.go
+++ b/cmd/weldscale/cli_test.go
@@ -102,6 +102,15 @@
 	stdout, _, status := say("stats", socket)
 	assert.Zero(t, status)
 	assert.Contains(t, stdout, "taken=0")
+	for _, c := range []struct{ verb, worker, says string }{{"ready", "", "ready"}, {"offline", "a", "done"}, {"counters", "", `"workers_excluded":1`},
+		{"online", "a", "done"}, {"counters", "", `"workers_excluded":0`}} {
+		stdout, _, status := say(strings.Fields(c.verb + " " + socket + " " + c.worker)...)
+		assert.Zero(t, status)
+		assert.Contains(t, stdout, c.says)
+	}
+	_, unknown, status := say("offline", socket, "nobody")
+	assert.Equal(t, 1, status)
+	assert.Contains(t, unknown, "no such worker")
 	_, _, status = say("level", socket, "debug")
 	assert.Zero(t, status)
 	k := standin.Kind{Class: "view", Budget: patience}
--- a/cmd/weldscale/control.go
+++ b/cmd/weldscale/control.go
@@ -9,12 +9,14 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"strings"
 	"syscall"
 	"time"
 
 	"weldscale/internal/logs"
+	"weldscale/internal/mgmt"
 )
 
 // This file owns the control socket, by which the operator speaks to a running scheduler, and the commands that do. It
@@ -65,6 +67,7 @@
 	mux.HandleFunc("POST /reload", c.reload)
 	mux.HandleFunc("POST /drain", c.drain)
 	mux.HandleFunc("POST /level", c.level)
+	mux.HandleFunc("/control/", c.operate)
 	c.srv = &http.Server{Handler: mux, ReadHeaderTimeout: controlWait}
 	go func() {
 		if err := c.srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
@@ -107,6 +110,16 @@
 	fmt.Fprintf(w, "stopping; %d requests in hand are answered first\n", n)
 }
 
+// operate answers the calls of the second address here too.
+func (c *control) operate(w http.ResponseWriter, r *http.Request) {
+	request, reply := mgmt.Read(r.Method, r.URL.EscapedPath())
+	if request != nil {
+		reply = request.Do(operate{c.s})
+	}
+	w.WriteHeader(reply.Status)
+	fmt.Fprintln(w, reply.Text)
+}
+
 func (c *control) level(w http.ResponseWriter, r *http.Request) {
 	to := r.URL.Query().Get("to")
 	if err := logs.SetLevel(to); err != nil {
@@ -120,12 +133,15 @@
 
 // remote is what the commands that speak to a running scheduler share.
 type remote struct {
-	Socket string `arg:"" help:"The control socket, as the control block of the operator's file names it." placeholder:"PATH"`
+	Socket string `arg:"" help:"The control socket, as the control block of the operator's file names it. For ready, counters, offline and online also the second address, HOST:PORT." placeholder:"PATH"`
 }
 
 // call asks the scheduler and prints its answer.
 func (r remote) call(ctx context.Context, method, path string) error {
 	client := &http.Client{Timeout: controlWait, Transport: &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		if host, _, err := net.SplitHostPort(r.Socket); err == nil && !strings.Contains(host, "/") {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", r.Socket)
+		}
 		return (&net.Dialer{}).DialContext(ctx, "unix", r.Socket)
 	}}}
 	req, err := http.NewRequestWithContext(ctx, method, "http://weldscale"+path, nil)
@@ -160,6 +176,25 @@
 	To string `arg:"" help:"debug, info, warn or error." enum:"debug,info,warn,error"`
 }
 
+type readyCmd struct{ remote }
+type countersCmd struct{ remote }
+type offlineCmd struct {
+	remote
+	Worker string `arg:"" help:"The worker's name, as the list has it."`
+}
+type onlineCmd struct {
+	remote
+	Worker string `arg:"" help:"The worker's name, as the list has it."`
+}
+
+func (c readyCmd) Run(ctx context.Context) error    { return c.call(ctx, "GET", "/control/ready") }
+func (c countersCmd) Run(ctx context.Context) error { return c.call(ctx, "GET", "/control/counters") }
+func (c offlineCmd) Run(ctx context.Context) error {
+	return c.call(ctx, "POST", "/control/workers/"+url.PathEscape(c.Worker)+"/offline")
+}
+func (c onlineCmd) Run(ctx context.Context) error {
+	return c.call(ctx, "POST", "/control/workers/"+url.PathEscape(c.Worker)+"/online")
+}
 func (c statsCmd) Run(ctx context.Context) error  { return c.call(ctx, "GET", "/stats") }
 func (c reloadCmd) Run(ctx context.Context) error { return c.call(ctx, "POST", "/reload") }
 func (c drainCmd) Run(ctx context.Context) error  { return c.call(ctx, "POST", "/drain") }
--- a/cmd/weldscale/main.go
+++ b/cmd/weldscale/main.go
@@ -31,6 +31,10 @@
 	Stats      statsCmd      `cmd:"" help:"Print the counters of a running scheduler."`
 	Reload     reloadCmd     `cmd:"" help:"Have a running scheduler read its files anew; says what is wrong with them."`
 	Drain      drainCmd      `cmd:"" help:"Have a running scheduler answer what it has and end."`
+	Ready      readyCmd      `cmd:"" help:"Ask a running scheduler whether it is ready to serve."`
+	Counters   countersCmd   `cmd:"" help:"Print the figures of a running scheduler, as JSON."`
+	Offline    offlineCmd    `cmd:"" help:"Have a running scheduler send nothing more to a worker."`
+	Online     onlineCmd     `cmd:"" help:"Put a worker back that was taken out."`
 	Level      levelCmd      `cmd:"" help:"Change the log level of a running scheduler."`
 
 	Reference  referenceCmd                 `cmd:"" hidden:"" help:"Print the reference page."`
--- a/cmd/weldscale/upgrade_test.go
+++ b/cmd/weldscale/upgrade_test.go
@@ -253,6 +253,21 @@
 	assert.Empty(t, other)
 	assert.Len(t, a.IDs(), seen, "out before the kill")
 
+	// The old one is killed while it passes its connections on: the new one serves on, with the same ones out.
+	newer := p.run().ready()
+	c = p.crowd("o", 4)
+	require.NoError(t, next.cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, next.cmd.Process.Kill())
+	_ = next.cmd.Wait()
+	c.done() // those of the old one's connections that it had not passed on yet broke
+	c = p.crowd("p", 4)
+	time.Sleep(50 * time.Millisecond)
+	served, other = c.done()
+	assert.Positive(t, served)
+	assert.Empty(t, other)
+	assert.Len(t, a.IDs(), seen)
+	next = newer
+
 	// A file that makes no sense is a line in the log.
 	require.NoError(t, next.cmd.Process.Kill())
 	_ = next.cmd.Wait()
--- /dev/null
+++ b/internal/jobs/pass_test.go
@@ -0,0 +1,85 @@
+package jobs
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A job passes to another process wherever the worker's answer is cut, and the client there gets that answer once. What has
+// not been written whole, or has ended, stays.
+func TestJobsPassWhereverTheAnswerIsCut(t *testing.T) {
+	const request = "POST /p/k?q=1 HTTP/1.1\r\nHost: h\r\nX-Call-Id: one\r\nX-Call-Class: send\r\nX-Budget: 9000m\r\nContent-Length: 2\r\n\r\nhi"
+	chunk := func(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+	answer := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(`{"id":"one","state":"sta`) + chunk("rted\"}\n") +
+		chunk("{\"id\":\"one\",\"state\":\"done\",\"result\":\"made\"}\n") + "0\r\n\r\n"
+	for cut := range len(answer) - len("0\r\n\r\n") {
+		old, next := newBench(t), newBench(t)
+		old.workers.Keep = true
+		worker := &fakeConn{prompt: true}
+		old.dialer.conn = worker
+		c := old.client()
+		c.handler.Data([]byte(request + "POST /next"))
+		require.Len(t, old.pushed, 1)
+		taken := 0
+		give := func(p *PassedJob, client, w Conn) bool {
+			taken++
+			text, err := json.Marshal(p)
+			require.NoError(t, err)
+			again := new(PassedJob)
+			require.NoError(t, json.Unmarshal(text, again))
+			newClient, newWorker := &fakeConn{prompt: true}, &fakeConn{prompt: true}
+			next.server.Main.Workers = next.workers
+			next.server.Adopt(next.server.Main, again, newClient, newWorker)
+			require.Equal(t, 1, next.e.Open())
+			newWorker.handler.Data([]byte(answer[cut:]))
+			assert.Contains(t, newClient.out, "HTTP/1.1 200 OK", "cut at %d", cut)
+			assert.Contains(t, newClient.out, "\r\n\r\nmade", "cut at %d", cut)
+			newClient.handler.Data([]byte(" HTTP/1.1\r\nHost: h\r\nX-Call-Id: two\r\nX-Call-Class: view\r\nX-Budget: 9000m\r\nContent-Length: 0\r\n\r\n"))
+			assert.Len(t, next.pushed, 1, "what the client had sent ahead came along")
+			return true
+		}
+		old.server.PassJobs(give)
+		require.Zero(t, taken, "an attempt that is not written stays")
+		old.workers.Push(old.pushed[0])
+		worker.handler.Data([]byte(answer[:cut]))
+		if c.out != "" {
+			old.server.PassJobs(give)
+			require.Zero(t, taken, "what is answered stays")
+			continue
+		}
+		old.server.PassJobs(give)
+		require.Equal(t, 1, taken, "cut at %d", cut)
+		assert.Zero(t, old.e.Open())
+		assert.True(t, worker.closed && c.closed, "our copies")
+		assert.Empty(t, c.out)
+		assert.Equal(t, []int{1, 1, 0}, []int{old.e.Counts.Taken, old.e.Counts.PassedOn, old.e.Counts.Hangups})
+	}
+}
+
+// News that another process has heard counts here, unless ours is newer; an answer to a call that began before it and knows
+// less changes nothing back.
+func TestNewsOfAnotherProcess(t *testing.T) {
+	b := newBench(t)
+	states := func() (ready int) {
+		b.e.Each(func(string) { ready++ })
+		return ready
+	}
+	b.list.Watch(true)
+	require.NoError(t, b.list.Told(2, []byte(`{"endpoints":[{"name":"a","address":"x:1","status":"DRAINING"}]}`)))
+	assert.Equal(t, 1, states(), "older than ours")
+	require.NoError(t, b.list.Told(9, []byte(`{"index":9,"endpoints":[{"name":"a","address":"x:1","zone":"here","status":"DRAINING"}]}`)))
+	assert.Zero(t, states())
+	b.list.Told(9, []byte(`{"endpoints":[{"name":"a","address":"x:1","status":"SERVING"}]}`))
+	b.list.toldAt = b.e.Now() + 1 // within the same microsecond
+	body := `{"index":4,"snapshot":true,"endpoints":[{"name":"a","address":"x:1","zone":"here","type":"box","status":"SERVING"}]}`
+	b.dialer.conn.handler.Data([]byte("HTTP/1.1 200 OK\r\nContent-Length: " + itoa(int64(len(body))) + "\r\n\r\n" + body))
+	assert.Zero(t, states(), "it knows less than we were told")
+	assert.EqualValues(t, 9, b.list.Index())
+	assert.Error(t, b.list.Told(10, []byte(`{`)))
+	require.NoError(t, b.list.Told(10, []byte(`{"snapshot":true,"endpoints":[{"name":"b","address":"y:1","zone":"here","status":"SERVING"}]}`)))
+	assert.Equal(t, 1, states())
+}
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -89,13 +89,24 @@
 	case !whole:
 		return nil, nil
 	}
-	return c.read()
+	request, no := Read(c.parser.Msg.Method, c.parser.Msg.Target)
+	if request == nil {
+		return nil, Answer(no.Status, no.Text)
+	}
+	return request, nil
+}
+
+// Reply is what a call is answered with.
+type Reply struct {
+	Status int
+	Text   string // a line, or JSON
+	JSON   bool
 }
 
-func (c *Call) read() (*Request, []byte) {
-	m := &c.parser.Msg
-	path, _, _ := strings.Cut(m.Target, "?")
-	r, method := &Request{}, "GET"
+// Read reads a method and a target as a call, or says why they are none.
+func Read(method, target string) (*Request, Reply) {
+	path, _, _ := strings.Cut(target, "?")
+	r, want := &Request{}, "GET"
 	switch path {
 	case "/control/ready":
 	case "/control/counters":
@@ -107,55 +118,57 @@
 		kind, known := kinds[verb]
 		name, err := url.PathUnescape(id)
 		if !ok || !cut || !known || name == "" || err != nil {
-			return nil, Answer(404, "unknown path")
+			return nil, Reply{Status: 404, Text: "unknown path"}
 		}
-		r.Kind, r.Worker, method = kind, name, "POST"
+		r.Kind, r.Worker, want = kind, name, "POST"
 	}
-	if m.Method != method {
-		return nil, Answer(405, "only "+method+" here")
+	if method != want {
+		return nil, Reply{Status: 405, Text: "only " + want + " here"}
 	}
-	return r, nil
+	return r, Reply{}
 }
 
-// Do has a request carried out and returns the answer.
-func (r *Request) Do(c Control) []byte {
-	var err error
+// Do has a request carried out.
+func (r *Request) Do(c Control) Reply {
 	switch r.Kind {
 	case Ready:
 		ready, err := c.Ready()
 		if err == nil && !ready {
-			return Answer(503, "not ready")
+			return Reply{Status: 503, Text: "not ready"}
 		}
-		return result(err, "ready")
+		return reply(err, "ready")
 	case Counters:
 		f, err := c.Figures()
 		if err != nil {
-			return result(err, "")
+			return reply(err, "")
 		}
 		text, err := json.Marshal(f)
 		if err != nil {
-			return Answer(500, err.Error())
+			return Reply{Status: 500, Text: err.Error()}
 		}
-		return http1.AppendResponse(nil, 200, false, append(text, '\n'), http1.Field{Name: "Content-Type", Value: "application/json"})
-	case Offline:
-		err = c.SetOut(r.Worker, true)
-	case Online:
-		err = c.SetOut(r.Worker, false)
+		return Reply{Status: 200, Text: string(text), JSON: true}
 	}
-	return result(err, "done")
+	return reply(c.SetOut(r.Worker, r.Kind == Offline), "done")
 }
 
-func result(err error, yes string) []byte {
+func reply(err error, yes string) Reply {
 	switch {
 	case err == nil:
-		return Answer(200, yes)
+		return Reply{Status: 200, Text: yes}
 	case errors.Is(err, ErrUnknown):
-		return Answer(404, err.Error())
+		return Reply{Status: 404, Text: err.Error()}
 	}
-	return Answer(503, err.Error())
+	return Reply{Status: 503, Text: err.Error()}
 }
 
-// Answer is a whole answer of one line, the last on its connection.
-func Answer(status int, text string) []byte {
-	return http1.AppendResponse(nil, status, false, []byte(text+"\n"))
+// Bytes is the reply as a whole answer, the last on its connection.
+func (r Reply) Bytes() []byte {
+	kind := "text/plain"
+	if r.JSON {
+		kind = "application/json"
+	}
+	return http1.AppendResponse(nil, r.Status, false, []byte(r.Text+"\n"), http1.Field{Name: "Content-Type", Value: kind})
 }
+
+// Answer is a whole answer of one line.
+func Answer(status int, text string) []byte { return Reply{Status: status, Text: text}.Bytes() }
--- a/internal/mgmt/mgmt_test.go
+++ b/internal/mgmt/mgmt_test.go
@@ -63,14 +63,14 @@
 	for err, status := range map[error]string{nil: "200", ErrUnknown: "404", ErrLate: "503"} {
 		f := fakeControl{err, map[string]bool{}}
 		for _, kind := range []Kind{Offline, Online} {
-			answer := string((&Request{kind, "w"}).Do(f))
+			answer := string((&Request{kind, "w"}).Do(f).Bytes())
 			assert.Contains(t, answer, "HTTP/1.1 "+status)
 			assert.Contains(t, answer, "Connection: close")
 			assert.Equal(t, kind == Offline, f.out["w"])
 		}
 	}
-	assert.Contains(t, string((&Request{Kind: Ready}).Do(fakeControl{err: ErrLate})), "HTTP/1.1 503")
-	text := string((&Request{Kind: Counters}).Do(fakeControl{}))
+	assert.Contains(t, string((&Request{Kind: Ready}).Do(fakeControl{err: ErrLate}).Bytes()), "HTTP/1.1 503")
+	text := string((&Request{Kind: Counters}).Do(fakeControl{}).Bytes())
 	_, body, _ := strings.Cut(text, "\r\n\r\n")
 	var in map[string]any
 	require.NoError(t, json.Unmarshal([]byte(body), &in))
--- a/internal/net/second.go
+++ b/internal/net/second.go
@@ -122,7 +122,7 @@
 		}
 		defer s.left()
 		if request != nil {
-			answer = request.Do(s.control)
+			answer = request.Do(s.control).Bytes()
 		}
 		if answer == nil {
 			return
