--- a/cmd/weldtrial/main.go
+++ b/cmd/weldtrial/main.go
@@ -32,6 +32,7 @@
 	Logs      bool          `help:"Show the scheduler's log."`
 
 	SlowPeers slowPeers `cmd:"" name:"slow-peers" help:"Normal traffic alone, beside slow senders and readers, and with few descriptors."`
+	Twin      twin      `cmd:"" name:"twin" help:"Scripts of the emulator, played by the model and by real schedulers."`
 	Upgrades  upgrades  `cmd:"" name:"upgrades" help:"A scheduler that is replaced again and again under a steady load."`
 	Services  services  `cmd:"" name:"services" help:"Three services in one process, one of them drowned or without workers."`
 }
--- a/internal/emulator/model.go
+++ b/internal/emulator/model.go
@@ -48,6 +48,8 @@
 type World struct {
 	// Policy is one of Policies; "" is the decision module.
 	Policy string
+	// Watch, if set, is told what comes from outside of the schedulers: what another world has to play to be the same.
+	Watch func(Happening)
 
 	script *Script
 	seed   uint64
@@ -69,6 +71,39 @@
 	origin Time
 }
 
+// Happening is one thing that comes from outside of the schedulers.
+type Happening struct {
+	At    Time // since the start
+	Kind  HappeningKind
+	Node  int // Arrival: the scheduler
+	Box   int // all others
+	Class int // Arrival
+	Work  Time
+	Slots int
+	Times float64      // Slowed: how many times slower it is from now on
+	State decide.State // Listed
+}
+
+// HappeningKind says what happens.
+type HappeningKind uint8
+
+// The kinds.
+const (
+	Arrival  HappeningKind = iota // a client's wish
+	Silenced                      // a box says nothing more
+	Ended                         // a box's process ends
+	Began                         // a box begins anew, cold
+	Slowed                        // a box is slower, or no longer
+	Listed                        // the list service takes in a box's state; it tells late
+)
+
+func (x *World) happens(h Happening) {
+	if x.Watch != nil {
+		h.At = x.now - x.origin
+		x.Watch(h)
+	}
+}
+
 // origin of the clock: the module takes 0 for long ago.
 const origin Time = 1000e6
 
@@ -242,6 +277,7 @@
 	t.slots = c.Slots[r.IntN(len(c.Slots))]
 	t.aimAt = x.now + c.Terms.Aim + Time(c.Terms.Stretch*float64(t.work))
 	x.tries = append(x.tries, t)
+	x.happens(Happening{Kind: Arrival, Node: n.index, Class: t.class, Work: t.work, Slots: t.slots})
 	x.request(n, t)
 }
 
--- a/internal/emulator/parties.go
+++ b/internal/emulator/parties.go
@@ -189,6 +189,7 @@
 	b.began, b.fallen = b.x.now, false
 	b.arrived, b.shownAt = nil, 0
 	b.x.note("up box=%d", b.index)
+	b.x.happens(Happening{Kind: Began, Box: b.index})
 }
 
 // request is one request in a scheduler's hands.
--- a/internal/emulator/trouble.go
+++ b/internal/emulator/trouble.go
@@ -60,11 +60,15 @@
 	case "vanish":
 		return draw(each(func(b *box) { b.vanish() })), each(func(b *box) { b.comeBack() })
 	case "slow":
-		return draw(each(func(b *box) { b.slow = append(b.slow, t.Times) })), each(func(b *box) {
-			if i := slices.Index(b.slow, t.Times); i >= 0 {
-				b.slow = slices.Delete(b.slow, i, i+1)
-			}
-		})
+		return draw(each(func(b *box) {
+				b.slow = append(b.slow, t.Times)
+				b.slowed()
+			})), each(func(b *box) {
+				if i := slices.Index(b.slow, t.Times); i >= 0 {
+					b.slow = slices.Delete(b.slow, i, i+1)
+				}
+				b.slowed()
+			})
 	case "pauses":
 		return draw(each(func(b *box) { b.pauses(t, name) })), func() {}
 	case "heavy_tail":
@@ -119,6 +123,7 @@
 	b.silent++
 	if b.silent == 1 {
 		b.x.note("silent box=%d", b.index)
+		b.x.happens(Happening{Kind: Silenced, Box: b.index})
 		for _, a := range append(slices.Clone(b.active), b.queue...) {
 			a.ended, a.lost = true, true
 		}
@@ -135,6 +140,15 @@
 	}
 }
 
+// slowed tells how slow a box is from now on.
+func (b *box) slowed() {
+	times := 1.0
+	for _, t := range b.slow {
+		times *= t
+	}
+	b.x.happens(Happening{Kind: Slowed, Box: b.index, Times: times})
+}
+
 // pauses has a box stand still again and again.
 func (b *box) pauses(t *Trouble, name string) {
 	b.x.after(Time(b.x.rng(name).Float64()*float64(t.Every)), func() {
@@ -156,6 +170,7 @@
 // down ends a box's process for a span; then follows what is next.
 func (b *box) down(span Time, then func()) {
 	b.dead++
+	b.x.happens(Happening{Kind: Ended, Box: b.index})
 	b.loseAll(decide.Reset)
 	b.x.list(b, decide.Gone)
 	b.x.after(span, func() {
@@ -188,6 +203,7 @@
 	}
 	w := &x.listed[b.index]
 	w.State, w.StartedAt = s, b.began
+	x.happens(Happening{Kind: Listed, Box: b.index, State: s})
 	if x.down > 0 {
 		return // told once the list service is back
 	}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -177,6 +177,9 @@
 	MemoryMB  int     // 192
 	Sockets   int     // 1024
 	Known     json.RawMessage
+	Zones     []string      // "here"
+	Zone      int           // the scheduler's
+	Nodes     int           // 1
 	ColdSpan  time.Duration // 10 minutes: a worker once cold stays so for the length of a test
 }
 
@@ -207,6 +210,9 @@
 	if s.ColdSpan == 0 {
 		s.ColdSpan = 10 * time.Minute
 	}
+	if s.Zones == nil {
+		s.Zones = []string{"here"}
+	}
 	if s.Known == nil {
 		s.Known = json.RawMessage(`{}`)
 	}
@@ -219,7 +225,7 @@
 		"name": s.Name, "listen": s.Listen, "discovery": s.Discovery, "seed": "1", "known": s.Known,
 		"limits": m{"cores": 1, "memory_mb": s.MemoryMB, "sockets": s.Sockets},
 		"settings": m{
-			"balancers": 1, "zone": 0, "zones": []string{"here"}, "kinds": []string{"box"}, "discovery": "subscribe",
+			"balancers": max(1, s.Nodes), "zone": s.Zone, "zones": s.Zones, "kinds": []string{"box"}, "discovery": "subscribe",
 			"resolution_us": 4000,
 			"limits": m{"probes": true, "cancel": true, "max_attempts": 4, "retry_after": true,
 				"max_retry_after_us": 2000000, "connect_timeout_us": 250000, "conn_idle_us": 10000000},
