--- a/cmd/weldscale/operate.go
+++ b/cmd/weldscale/operate.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"weldscale/internal/engine"
@@ -92,6 +93,23 @@
 	return nil
 }
 
+// out are the workers that are out, of all services, in order.
+func (s *scheduler) out() []string {
+	var names []string
+	for _, p := range s.parts() {
+		names = append(names, p.overlay.Names()...)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// restore takes out whoever was out before, in every service, listed or not.
+func (s *scheduler) restore(names []string) {
+	for _, p := range s.parts() {
+		p.overlay.Restore(names)
+	}
+}
+
 // setOut takes a worker out of every service that lists it, or puts it back.
 func (s *scheduler) setOut(worker string, out bool) bool {
 	known := false
--- a/cmd/weldscale/services.go
+++ b/cmd/weldscale/services.go
@@ -88,6 +88,7 @@
 
 // begin gives a service its parts of what all share, and its workers.
 func (s *scheduler) begin(v *service) {
+	v.overlay.Restore(s.out()) // who is out is out of a new service too
 	v.share, v.lane = s.open.Share(v.conf.Reserve), s.clock.Lane(s.loop.Now(), v.conf.Weight)
 	p := pool.New(v.conf.Name, v.conf.Limits, v.conf.ClassLimits(), v.share, v.lane)
 	s.account(v.jobs, v.e, p, v.lane)
--- a/cmd/weldscale/upgrade.go
+++ b/cmd/weldscale/upgrade.go
@@ -76,7 +76,7 @@
 		s.e.Learn(l)
 		slog.Info("beside another process", "other", elder.Process, "out", out, "list", s.discovery.Index())
 	}
-	s.overlay.Restore(out)
+	s.restore(out)
 	return nil
 }
 
@@ -102,7 +102,7 @@
 			slog.Warn("what was learnt can't be passed on", "why", err)
 			h.Learnt = json.RawMessage("{}")
 		}
-		h.Open, h.Out, h.List = u.s.driver.Open(), u.s.overlay.Names(), u.s.overlay.Listed(u.s.discovery.Index())
+		h.Open, h.Out, h.List = u.s.driver.Open(), u.s.out(), u.s.overlay.Listed(u.s.discovery.Index())
 	})
 	return h
 }
@@ -257,7 +257,7 @@
 		}
 	}
 	var names []string
-	if !u.s.loop.Soon(bindWait, func() { names = u.s.overlay.Names() }) {
+	if !u.s.loop.Soon(bindWait, func() { names = u.s.out() }) {
 		return nil // the call is in force; the file follows with the next one
 	}
 	u.mu.Lock()
--- a/internal/net/door.go
+++ b/internal/net/door.go
@@ -58,6 +58,11 @@
 }
 
 func (l inherited) Accept() (net.Conn, error) {
+	// Whether the socket blocks is one setting for all processes that have it. Where it does and another process was
+	// quicker, the poller would wait here for the next client, and nobody's bytes would be read meanwhile.
+	if err := unix.SetNonblock(l.fd, true); err != nil {
+		return nil, err
+	}
 	fd, from, err := unix.Accept4(l.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 	switch err {
 	case nil:
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"weldscale/internal/engine"
 	"weldscale/internal/jobs"
@@ -340,3 +341,36 @@
 	}
 	require.Eventually(t, func() bool { return d.Open() == 0 }, patience, time.Millisecond)
 }
+
+// A passed socket may block, as another process has set it. An accept for a client that another process took must not wait
+// for the next one: the poller reads nothing meanwhile.
+func TestAcceptOnAPassedSocketNeverWaits(t *testing.T) {
+	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	file, err := ln.(*stdnet.TCPListener).File()
+	require.NoError(t, err)
+	defer file.Close()
+	ln.Close()
+	fd := int(file.Fd()) // which makes it block
+	d := New(engine.NewLoop(), Config{Descriptors: 256})
+	require.NoError(t, d.ListenOn(fd))
+	for range 2 {
+		require.NoError(t, unix.SetNonblock(fd, false))
+		returned := make(chan struct{})
+		go func() {
+			c, err := d.shared.Accept()
+			assert.NoError(t, err)
+			assert.Nil(t, c)
+			close(returned)
+		}()
+		select {
+		case <-returned:
+		case <-time.After(patience):
+			t.Fatal("it waits")
+		}
+	}
+	assert.True(t, d.Leave())
+	_, err = d.shared.Accept()
+	assert.ErrorIs(t, err, errLeft, "it takes nothing more, and leaves the queue to others")
+	assert.ErrorContains(t, d.ListenOn(0), "no listening socket")
+}
