--- /dev/null
+++ b/cmd/weldreport/main_test.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"weldscale/internal/emulator"
+)
+
+// Each run of the shipped scripts makes a section with its plots, its troubles shaded; names that are markup stay text.
+func TestReport(t *testing.T) {
+	paths, err := filepath.Glob("../../deploy/rehearsals/*.hcl")
+	require.NoError(t, err)
+	require.NotEmpty(t, paths)
+	var runs []run
+	troubles := 0
+	for _, path := range paths {
+		s, err := emulator.Read(path)
+		require.NoError(t, err)
+		x, err := emulator.New(s, 1, nil)
+		require.NoError(t, err)
+		x.SampleEvery = s.For / 30
+		result, err := x.Run(nil)
+		require.NoError(t, err)
+		require.Len(t, result.Samples, 31)
+		runs = append(runs, run{Script: "<b>" + filepath.Base(path), Policy: "module", Seed: 1, Result: result, Troubles: s.Troubles})
+		troubles += len(s.Troubles)
+	}
+	text, err := json.Marshal(runs)
+	require.NoError(t, err)
+	var out bytes.Buffer
+	require.NoError(t, report(&out, text))
+	page := out.String()
+	assert.Equal(t, 3*len(paths), strings.Count(page, "<svg"))
+	assert.Equal(t, 2*troubles, strings.Count(page, "fill-opacity"), "once in each plot over time")
+	assert.NotContains(t, page, "<b>")
+	for _, bad := range []string{"", "{", `[{"script":"x"}]`} {
+		assert.Error(t, report(&out, []byte(bad)), bad)
+	}
+}
--- a/cmd/weldscale/rehearse.go
+++ b/cmd/weldscale/rehearse.go
@@ -27,21 +27,26 @@
 	Policy  string   `help:"Who decides: module, or a plain policy to hold it against, or all." enum:"module,random,round_robin,least_outstanding,oracle,all" default:"module"`
 	Seeds   int      `help:"How many runs of each script, with this seed and the next ones." default:"1"`
 	Log     string   `help:"Write the event log there; for one script and one seed." placeholder:"FILE" type:"path"`
-	JSON    string   `help:"Write the results there." placeholder:"FILE" type:"path"`
+	JSON    string   `help:"Write the results there; weldreport makes a page with plots of them." placeholder:"FILE" type:"path"`
 	Windows bool     `help:"Show each run in windows of five seconds."`
 }
 
 // rehearsal is one run and what the checker found in its log.
 type rehearsal struct {
-	Script string            `json:"script"`
-	Policy string            `json:"policy"`
-	Seed   uint64            `json:"seed"`
-	Result *emulator.Result  `json:"result"`
-	Found  emulator.Findings `json:"found"`
-	Took   time.Duration     `json:"took_ns"`
-	err    error
+	Script string           `json:"script"`
+	Policy string           `json:"policy"`
+	Seed   uint64           `json:"seed"`
+	Result *emulator.Result `json:"result"`
+	// Troubles are those of the script, for plots.
+	Troubles []emulator.Trouble `json:"troubles"`
+	Found    emulator.Findings  `json:"found"`
+	Took     time.Duration      `json:"took_ns"`
+	err      error
 }
 
+// samples is how many pictures of a run the JSON holds.
+const samples = 240
+
 // Run implements the command.
 func (c rehearseCmd) Run(ctx context.Context) error {
 	policies := []string{c.Policy}
@@ -123,7 +128,11 @@
 		checked <- err
 	}()
 	x, err := emulator.NewWith(r.Policy, s, r.Seed, out)
+	r.Troubles = s.Troubles
 	if err == nil {
+		if c.JSON != "" {
+			x.SampleEvery = s.For / samples
+		}
 		r.Result, err = x.Run(nil)
 	}
 	write.Close()
--- a/internal/emulator/model.go
+++ b/internal/emulator/model.go
@@ -48,6 +48,8 @@
 type World struct {
 	// Policy is one of Policies; "" is the decision module.
 	Policy string
+	// SampleEvery is how far apart the samples of a Result are; 0: there are none.
+	SampleEvery Time
 	// Watch, if set, is told what comes from outside of the schedulers: what another world has to play to be the same.
 	Watch func(Happening)
 
@@ -69,6 +71,7 @@
 	rngs   map[string]*rand.Rand // by name; looked up only
 	tries  []*try
 	origin Time
+	shots  []Sample
 }
 
 // Happening is one thing that comes from outside of the schedulers.
@@ -171,6 +174,7 @@
 	next := x.now
 	for len(x.queue) > 0 {
 		e := heap.Pop(&x.queue).(event)
+		x.sample(e.at)
 		x.now = e.at
 		if x.now > x.origin+x.script.For+x.longest() {
 			break // what is left are the module's own timers and the list's news
@@ -188,6 +192,31 @@
 	return x.result(), nil
 }
 
+// maxHeld is how many boxes a sample tells apart.
+const maxHeld = 64
+
+// sample takes pictures of the state up to a moment; between two events nothing changes.
+func (x *World) sample(until Time) {
+	for x.SampleEvery > 0 {
+		at := Time(len(x.shots)) * x.SampleEvery
+		if at > x.script.For || x.origin+at > until {
+			return
+		}
+		s := Sample{At: at}
+		for i, b := range x.boxes {
+			s.Queue += len(b.queue)
+			if b.up() {
+				s.Free += b.kind.Slots - b.running
+				s.Up++
+			}
+			if i < maxHeld {
+				s.Held = append(s.Held, len(b.active)+len(b.queue))
+			}
+		}
+		x.shots = append(x.shots, s)
+	}
+}
+
 // longest is how long after the last arrival something may still be in hand.
 func (x *World) longest() Time {
 	most := Time(0)
@@ -342,6 +371,16 @@
 	Fallen   int     // boxes that were pushed over
 	Classes  []ClassResult
 	Windows  []Window
+	Samples  []Sample
+}
+
+// Sample is the boxes at a moment.
+type Sample struct {
+	At    Time  // since the start
+	Queue int   // attempts that wait at boxes
+	Free  int   // slots of boxes that are up
+	Up    int   // boxes
+	Held  []int // attempts at each of the first boxes
 }
 
 // ClassResult is one class of a Result.
@@ -362,7 +401,7 @@
 const windowSpan Time = 5e6
 
 func (x *World) result() *Result {
-	r := &Result{Events: x.done, Tries: len(x.tries)}
+	r := &Result{Events: x.done, Tries: len(x.tries), Samples: x.shots}
 	worth, reached := 0.0, 0.0
 	for _, c := range x.script.Classes {
 		r.Classes = append(r.Classes, ClassResult{Name: c.Name})
