--- a/cmd/weldscale/upgrade_test.go
+++ b/cmd/weldscale/upgrade_test.go
@@ -29,6 +29,7 @@
 	socket *os.File
 	addr   string
 	site   standin.Site
+	files  int // descriptors that a process may have; 0: as here
 }
 
 // process is one of them.
@@ -59,6 +60,9 @@
 	require.NoError(p.t, err)
 	ln.Close()
 	x := &process{p: p, mgmt: ln.Addr().String(), cmd: exec.Command(os.Args[0])}
+	if p.files > 0 {
+		x.cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s", p.files, os.Args[0]))
+	}
 	config := filepath.Join(p.t.TempDir(), "config.json")
 	writeConfig(p.t, config, p.site)
 	x.cmd.Env = append(append(os.Environ(), "WELDSCALE_TEST=program", "GW_CONFIG="+config, "GW_MGMT="+x.mgmt, "TMPDIR="+p.dir,
@@ -224,6 +228,38 @@
 	assert.Empty(t, other)
 }
 
+// With every descriptor that clients may have in use the second address answers still, and what was taken is served.
+func TestSecondAddressAtTheDescriptorLimit(t *testing.T) {
+	w := startWorker(t, standin.WorkerConfig{Name: "a"})
+	p := newPlace(t, startDiscovery(t, w.Entry("SERVING")))
+	p.files, p.site.Sockets = 96, 96
+	x := p.run().ready()
+	for range 300 {
+		c, err := net.Dial("tcp", p.addr)
+		require.NoError(t, err)
+		defer c.Close()
+		if _, err = c.Write([]byte("POST /x HTTP/1.1\r\n")); err != nil {
+			c.Close()
+		}
+	}
+	for i := range 30 {
+		resp, err := http.Get("http://" + x.mgmt + "/control/counters")
+		require.NoError(t, err)
+		resp.Body.Close()
+		assert.Equal(t, 200, resp.StatusCode)
+		if i == 0 {
+			assert.Equal(t, 200, x.hand("a", "offline"))
+			assert.Equal(t, 200, x.hand("a", "online"))
+		}
+	}
+	c := p.crowd("d", 2)
+	time.Sleep(50 * time.Millisecond)
+	served, _ := c.done()
+	assert.Positive(t, served)
+	x.stop()
+	assert.NotContains(t, x.said.String(), "too many open files")
+}
+
 // A new process that can't start changes nothing, and one that is killed outright leaves no trace but its ban.
 func TestBrokenUpgrades(t *testing.T) {
 	a, b := startWorker(t, standin.WorkerConfig{Name: "a"}), startWorker(t, standin.WorkerConfig{Name: "b"})
