--- a/cmd/weldscale/cli_test.go
+++ b/cmd/weldscale/cli_test.go
@@ -118,9 +118,15 @@
 	require.NoError(t, err)
 	assert.Equal(t, 200, code)
 	log := cmd.Stderr.(*logged)
-	for _, line := range []string{`"call_id":"traced"`, `"msg":"attempt"`, `"outcome":"served"`} {
+	for _, line := range []string{`"call_id":"traced"`, `"msg":"probe","service":"","request":1`, `"msg":"probe ended","service":"","request":1`,
+		`"msg":"attempt"`, `"outcome":"served"`} {
 		log.await(t, line)
 	}
+	stdout, _, status = say("load", addr, "--for=1s", "--clients=2", "--slow-senders=2", "--slow-readers=2", "--slow-rate=100000")
+	assert.Zero(t, status)
+	for _, line := range []string{"slow senders: came=", "slow readers: came="} {
+		assert.Contains(t, stdout, line)
+	}
 	_, stderr, status := say("reload", socket)
 	assert.Zero(t, status, stderr)
 	write(good + "slow_peers { most = 0 }")
--- a/cmd/weldscale/demo.go
+++ b/cmd/weldscale/demo.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -218,7 +219,8 @@
 	out := table.NewWriter()
 	out.SetOutputMirror(os.Stdout)
 	out.SetStyle(table.StyleLight)
-	out.AppendHeader(table.Row{"class", "jobs", "in time", "worth in time", "served", "refused", "failed", "broken", "p50 ms", "p99 ms"})
+	out.AppendHeader(table.Row{"class", "jobs", "in time", "worth in time", "served", "tried again", "refused", "failed", "broken", "p50 ms", "p99 ms"})
+	again := d.again()
 	asked, earned := 0.0, 0.0
 	for i, t := range tallies {
 		c := demoClasses[i]
@@ -226,7 +228,7 @@
 		asked += worth * float64(t.Sent)
 		earned += worth * float64(t.InTime)
 		out.AppendRow(table.Row{c.Name, t.Sent, fmt.Sprintf("%.3f", t.InTimeShare()), fmt.Sprintf("%.0f of %.0f", worth*float64(t.InTime), worth*float64(t.Sent)),
-			t.Served, t.Refused, t.Failed, t.Broken, fmt.Sprintf("%.1f", t.Quantile(50).Seconds()*1e3), fmt.Sprintf("%.1f", t.Quantile(99).Seconds()*1e3)})
+			t.Served, again[c.Name], t.Refused, t.Failed, t.Broken, fmt.Sprintf("%.1f", t.Quantile(50).Seconds()*1e3), fmt.Sprintf("%.1f", t.Quantile(99).Seconds()*1e3)})
 	}
 	out.AppendFooter(table.Row{"all", "", "", fmt.Sprintf("%.3f", earned/max(asked, 1e-9))})
 	out.Render()
@@ -248,6 +250,24 @@
 	return d.rules(tallies)
 }
 
+// again is how many jobs of each class reached a further worker.
+func (d *demo) again() map[string]int {
+	reached := map[string]int{}
+	again := map[string]int{}
+	for _, w := range d.workers {
+		for _, s := range w.Seen() {
+			if reached[s.ID]++; reached[s.ID] == 2 {
+				for _, c := range demoClasses {
+					if strings.HasPrefix(s.ID, c.Name) {
+						again[c.Name]++
+					}
+				}
+			}
+		}
+	}
+	return again
+}
+
 // rules says what each rule saw.
 func (d *demo) rules(tallies []*standin.Tally) error {
 	lost, wrong, jobs := 0, 0, 0
--- a/cmd/weldscale/load.go
+++ b/cmd/weldscale/load.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -31,6 +32,9 @@
 	Answer  int           `help:"Bytes of a stand-in worker's answer."`
 	Budget  time.Duration `help:"How long a client waits." default:"5s"`
 	Within  time.Duration `help:"An answer is in time within this; 0: within the budget."`
+	Senders int           `help:"Beside them, clients that send their request slowly." name:"slow-senders"`
+	Readers int           `help:"Beside them, clients that read their answer slowly." name:"slow-readers"`
+	Slow    float64       `help:"Bytes a second of the slow ones." name:"slow-rate" default:"200"`
 	JSON    string        `help:"Write the figures there too." placeholder:"FILE" type:"path"`
 	HDR     string        `help:"Write the latencies there too, as an HdrHistogram log." placeholder:"FILE" type:"path"`
 	Against string        `help:"Figures of an earlier run, by --json, to compare with." placeholder:"FILE" type:"path"`
@@ -64,6 +68,9 @@
 	if c.Rate < 0 || c.Rate == 0 && c.Clients < 1 {
 		return errors.New("load: --rate must be above 0, or --clients at least 1")
 	}
+	if c.Senders < 0 || c.Readers < 0 || c.Senders+c.Readers > 0 && c.Slow <= 0 {
+		return errors.New("load: --slow-senders and --slow-readers can't be below 0, and --slow-rate must be above it")
+	}
 	var before *figures
 	if c.Against != "" { // read first: a run is not to be lost for it
 		text, err := os.ReadFile(c.Against)
@@ -75,11 +82,14 @@
 			return fmt.Errorf("%s: %w", c.Against, err)
 		}
 	}
-	t := standin.Load{Target: c.Target, Host: c.Host, Seed: c.Seed, Name: fmt.Sprintf("load%x-", time.Now().UnixNano()), For: c.For, Rate: c.Rate,
+	name := fmt.Sprintf("load%x-", time.Now().UnixNano())
+	slow := c.slow(ctx, name)
+	t := standin.Load{Target: c.Target, Host: c.Host, Seed: c.Seed, Name: name, For: c.For, Rate: c.Rate,
 		Clients: c.Clients, Kinds: []standin.Kind{{Class: c.Class, Share: 1, Body: c.Body, Budget: c.Budget, Within: c.Within,
 			Task: standin.Task{Run: c.Job, Slots: c.Slots, Size: c.Answer}}}}.Run(ctx)
 	f := figuresOf(t)
 	show(f, before)
+	slow()
 	for why, n := range t.Why {
 		fmt.Printf("%d ended as: %s\n", n, why)
 	}
@@ -98,6 +108,32 @@
 	return nil
 }
 
+// slow starts the slow clients; the function that it returns waits for their end and says how it was.
+func (c loadCmd) slow(ctx context.Context, name string) func() {
+	ctx, stop := context.WithTimeout(ctx, c.For)
+	kind := standin.Kind{Class: c.Class, Budget: c.Budget, Body: max(c.Body, 60000), Task: standin.Task{Run: c.Job, Slots: c.Slots, Size: c.Answer}}
+	readers := kind
+	readers.Body, readers.Task.Size = c.Body, max(c.Answer, 60000)
+	crowds := []standin.Slow{{Name: name + "s", Peers: c.Senders, Kind: kind, Send: c.Slow}, {Name: name + "r", Peers: c.Readers, Kind: readers, Read: c.Slow}}
+	tallies := make([]*standin.SlowTally, len(crowds))
+	var all sync.WaitGroup
+	for i, s := range crowds {
+		if s.Peers > 0 {
+			s.Target, s.Over = c.Target, time.Second
+			all.Go(func() { tallies[i] = s.Run(ctx) })
+		}
+	}
+	return func() {
+		all.Wait()
+		stop()
+		for i, t := range tallies {
+			if t != nil {
+				fmt.Printf("slow %s: %s\n", []string{"senders", "readers"}[i], t)
+			}
+		}
+	}
+}
+
 func show(f figures, before *figures) {
 	out := table.NewWriter()
 	out.SetOutputMirror(os.Stdout)
--- a/decide/events.go
+++ b/decide/events.go
@@ -124,6 +124,14 @@
 	}
 }
 
+// JobOf is the job that a timer's token is about, or 0.
+func JobOf(token uint64) uint32 {
+	if token>>56<<56 == wakeAsk {
+		return 0
+	}
+	return uint32(token)
+}
+
 // Wake takes in a timer. A stale one does nothing.
 func (d *Dispatcher) Wake(now Time, token uint64) {
 	d.tick(now)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -100,10 +100,11 @@
 
 // Probe is one question for a worker's load.
 type Probe struct {
-	Worker *Worker
-	sentAt decide.Time
-	over   bool
-	e      *Engine
+	Worker  *Worker
+	request uint32 // the request that it is for; 0: none
+	sentAt  decide.Time
+	over    bool
+	e       *Engine
 }
 
 // Engine is one scheduler.
@@ -133,6 +134,7 @@
 	requests map[uint32]*Request // open, or with an attempt out
 	open     int
 	lastID   uint32
+	subject  uint32   // the request that the module is at, as far as the call tells; for the trace
 	todo     []func() // actions the module has asked for and that are not carried out yet
 	running  bool
 	listed   bool // a list has named a worker that takes jobs
@@ -192,7 +194,7 @@
 	if e.Trace != nil {
 		e.Trace("arrival", r.ID, "class", j.Class, "left_us", j.GiveUpAt-e.Now(), "work_us", j.Hint, "slots", j.Slots)
 	}
-	e.call(func() { e.d.Arrive(e.Now(), j) })
+	e.callFor(r.ID, func() { e.d.Arrive(e.Now(), j) })
 	return r
 }
 
@@ -379,12 +381,24 @@
 	p.Worker.out--
 	p.e.Counts.Probes[s]++
 	now := p.e.Now()
+	if p.e.Trace != nil {
+		p.e.Trace("probe ended", p.request, "worker", p.Worker.Name, "outcome", StatusNames[s], "took_us", now-p.sentAt)
+	}
 	if p.e.Meter != nil {
 		p.e.Meter.Probe(s, now-p.sentAt)
 	}
 	p.e.call(func() { p.e.d.ProbeResult(now, p.Worker.ID, s, now-p.sentAt, report) })
 }
 
+// callFor makes a call that is about one request.
+func (e *Engine) callFor(request uint32, f func()) {
+	e.call(func() {
+		e.subject = request
+		f()
+		e.subject = 0
+	})
+}
+
 // call makes a call of the module and then carries out what it asked for, in order. An action may lead to
 // further calls; none is made while the module is still at work.
 func (e *Engine) call(f func()) {
@@ -443,10 +457,14 @@
 }
 
 func (x actions) Probe(worker decide.WorkerID) {
+	request := x.e.subject
 	x.do(func() {
 		if w := x.e.byID[worker]; w != nil {
 			w.out++
-			x.e.workers.Probe(&Probe{Worker: w, sentAt: x.e.Now(), e: x.e})
+			if x.e.Trace != nil {
+				x.e.Trace("probe", request, "worker", w.Name)
+			}
+			x.e.workers.Probe(&Probe{Worker: w, request: request, sentAt: x.e.Now(), e: x.e})
 		}
 	})
 }
@@ -492,7 +510,7 @@
 func (x actions) Wake(after decide.Time, token uint64) {
 	x.do(func() {
 		x.e.After(time.Duration(after)*time.Microsecond, func() {
-			x.e.call(func() { x.e.d.Wake(x.e.Now(), token) })
+			x.e.callFor(decide.JobOf(token), func() { x.e.d.Wake(x.e.Now(), token) })
 		})
 	})
 }
