--- a/cmd/weldscale/cli_test.go
+++ b/cmd/weldscale/cli_test.go
@@ -122,11 +122,6 @@
 		`"msg":"attempt"`, `"outcome":"served"`} {
 		log.await(t, line)
 	}
-	stdout, _, status = say("load", addr, "--for=1s", "--clients=2", "--slow-senders=2", "--slow-readers=2", "--slow-rate=100000")
-	assert.Zero(t, status)
-	for _, line := range []string{"slow senders: came=", "slow readers: came="} {
-		assert.Contains(t, stdout, line)
-	}
 	_, stderr, status := say("reload", socket)
 	assert.Zero(t, status, stderr)
 	write(good + "slow_peers { most = 0 }")
@@ -141,6 +136,12 @@
 	assert.Contains(t, string(text), `weldscale_answer_seconds_count{class="view",outcome="served",service=""} 1`)
 	assert.Contains(t, string(text), `weldscale_taken{service=""} 1`)
 
+	stdout, _, status = say("load", addr, "--for=1s", "--clients=2", "--slow-senders=2", "--slow-readers=2", "--slow-rate=100000")
+	assert.Zero(t, status)
+	for _, line := range []string{"slow senders: came=", "slow readers: came="} {
+		assert.Contains(t, stdout, line)
+	}
+
 	path := filepath.Join(dir, "second.json")
 	require.NoError(t, os.WriteFile(path, site.Config(), 0o600))
 	write(good)
