A request, an attempt's limit and news of the list are each entered in one place

engine.Adopt had written again what Submit (an ID, the books) and Push (the timer) do, and Told and Overlaid shared their tail. take, limit and takeNews serve both; behaviour is as it was, no test changed. Tests of engine, jobs, net and the processes pass.

--- a/cmd/weldscale/operate.go
+++ b/cmd/weldscale/operate.go
@@ -16,7 +16,7 @@
 // callWait is how long a call may wait for the loop: its answer is due within a second.
 const callWait = 700 * time.Millisecond
 
-// operator implements mgmt.Control.
+// operate implements mgmt.Control.
 type operate struct{ s *scheduler }
 
 // soon has f run on the loop.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -184,17 +184,23 @@
 
 // Submit takes a request of a client. The job's ID is set here.
 func (e *Engine) Submit(j decide.Job, payload any, c Client) *Request {
+	r := e.take(j.Class, j.GiveUpAt, e.Now(), payload, c)
+	j.ID = r.ID
+	if e.Trace != nil {
+		e.Trace("arrival", r.ID, "class", j.Class, "left_us", j.GiveUpAt-e.Now(), "work_us", j.Hint, "slots", j.Slots)
+	}
+	e.callFor(r.ID, func() { e.d.Arrive(e.Now(), j) })
+	return r
+}
+
+// take enters a request under an ID of its own.
+func (e *Engine) take(class int, giveUpAt, came decide.Time, payload any, c Client) *Request {
 	for e.lastID++; e.lastID == 0 || e.requests[e.lastID] != nil; e.lastID++ {
 	}
-	j.ID = e.lastID
-	r := &Request{ID: j.ID, Class: j.Class, GiveUpAt: j.GiveUpAt, Payload: payload, client: c, came: e.Now(), open: true}
+	r := &Request{ID: e.lastID, Class: class, GiveUpAt: giveUpAt, Payload: payload, client: c, came: came, open: true}
 	e.requests[r.ID] = r
 	e.open++
 	e.Counts.Taken++
-	if e.Trace != nil {
-		e.Trace("arrival", r.ID, "class", j.Class, "left_us", j.GiveUpAt-e.Now(), "work_us", j.Hint, "slots", j.Slots)
-	}
-	e.callFor(r.ID, func() { e.d.Arrive(e.Now(), j) })
 	return r
 }
 
@@ -244,9 +250,7 @@
 // Overlaid takes in entries that the overlay sees otherwise from now on. Discovery has not spoken: whether the watch
 // stands is not touched.
 func (e *Engine) Overlaid(entries []Entry) {
-	list := e.takeList(decide.ListDelta, entries)
-	e.call(func() { e.d.TakeNews(e.Now(), decide.ListDelta, list) })
-	e.forgetGone()
+	e.takeNews(decide.ListDelta, entries)
 }
 
 // Told takes in news of the list that another process of this scheduler has heard: the overlay goes over it, and whether
@@ -256,6 +260,10 @@
 		entries = e.Overlay.Over(kind, entries)
 	}
 	e.Counts.ListNews++
+	e.takeNews(kind, entries)
+}
+
+func (e *Engine) takeNews(kind decide.ListKind, entries []Entry) {
 	list := e.takeList(kind, entries)
 	e.call(func() { e.d.TakeNews(e.Now(), kind, list) })
 	e.forgetGone()
@@ -325,6 +333,14 @@
 	return time.Duration(a.Request.GiveUpAt-a.e.Now()) * time.Microsecond
 }
 
+// limit ends the attempt as timed out after the span.
+func (a *Attempt) limit(span decide.Time) {
+	a.timer = a.e.After(time.Duration(span)*time.Microsecond, func() {
+		a.e.workers.Cancel(a)
+		a.End(decide.TimedOut, nil, decide.Report{})
+	})
+}
+
 // Started takes in that the job runs.
 func (a *Attempt) Started() {
 	if !a.over {
@@ -444,10 +460,7 @@
 		if e.Trace != nil {
 			e.Trace("attempt", r.ID, "attempt", a.n, "worker", w.Name, "left_us", timeout)
 		}
-		a.timer = e.After(time.Duration(timeout)*time.Microsecond, func() {
-			e.workers.Cancel(a)
-			a.End(decide.TimedOut, nil, decide.Report{})
-		})
+		a.limit(timeout)
 		if a.n > 0 && e.MayRetry != nil && !e.MayRetry(r.Class) {
 			a.End(decide.Moot, nil, decide.Report{})
 			return
--- a/internal/engine/pass.go
+++ b/internal/engine/pass.go
@@ -1,10 +1,6 @@
 package engine
 
-import (
-	"time"
-
-	"weldscale/decide"
-)
+import "weldscale/decide"
 
 // This file owns requests that leave for another process of this scheduler, or come from one, with what they have behind
 // them. It must never leave one request in two processes' hands.
@@ -64,14 +60,7 @@
 
 // Adopt goes on with a request of another process, and returns its attempt that is out, if there is one.
 func (e *Engine) Adopt(p Passed, payload any, c Client) (*Request, *Attempt) {
-	e.lastID++
-	for e.lastID == 0 || e.requests[e.lastID] != nil {
-		e.lastID++
-	}
-	r := &Request{ID: e.lastID, Class: p.Class, GiveUpAt: p.GiveUpAt, Payload: payload, client: c, came: p.Came, open: true}
-	e.requests[r.ID] = r
-	e.open++
-	e.Counts.Taken++
+	r := e.take(p.Class, p.GiveUpAt, p.Came, payload, c)
 	e.Counts.Adopted++
 	var out *Attempt
 	tried := make([]decide.Tried, len(p.Tried))
@@ -89,10 +78,7 @@
 			out = a
 			r.out++
 			w.out++
-			a.timer = e.After(time.Duration(p.GiveUpAt-e.Now())*time.Microsecond, func() {
-				e.workers.Cancel(a)
-				a.End(decide.TimedOut, nil, decide.Report{})
-			})
+			a.limit(p.GiveUpAt - e.Now())
 		}
 	}
 	if e.Trace != nil {
