Short queues where workers tell them, own ends counted, failing workers tried at last

At fault: room (no job where no slot is shown), freed (an end of ours never counted), usable and judge (every ejected worker shut to every job; an unsafe one let back in after one lucky success). Now: a queue of 0.3 of the slots where reports tell it and no job is wider than a slot; ends count as long as pushes; start notes are late only after the wait that a queue explains; a failing worker takes repeatable jobs without room elsewhere. Elsewhere (wide jobs, no queue told) room decides as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,5 +1,4 @@
-// The decisions. Their interface (types, events, actions) stands in api.go; what is remembered, in state.go;
-// the reasons at length in docs/DESIGN.md.
+// The decisions. Interface: api.go; what is remembered: state.go; the reasons at length: docs/DESIGN.md.
 
 package decide
 
@@ -27,13 +26,12 @@
 	drawTries    = 24         // random picks before the whole list is searched
 	coldShare    = 1.6        // a cold worker gets this part of a warm one's load, times its sure warmth
 	coldJob      = 0.25       // no single job may take more than this part of a cold worker's fall budget
-	learnRate    = 0.1        // weight of the newest run in the running mean of a class
+	learnRate    = 0.1        // weight of the newest in a running mean
 	priceUp      = 1.2        // a few collisions in a row must tell
 	priceDown    = 0.95       // at balance about one push in four collides
 	priceFade    = 0.9        // a second: a price that lets nothing through would never learn better
 	nearPerPrice = 1.5        // near draws only, for this part of the slack times the price of crossing
 	shareBurst   = 8          // seconds of a tenant's share may come at once: a node sees few jobs, unevenly
-	lagLook      = 250 * ms   // looks at one worker closer than this tell how long its reports stand
 	lagFresh     = 300 * ms   // by older reports a second copy meets a taken slot as often as the first
 	lagMost      = 1000 * ms  // a report older than that says nothing, and claims must not outlive it
 	usualRun     = 100 * ms   // the spans above suit jobs that run at least as long
@@ -43,6 +41,8 @@
 	slowFrom     = 2          // probes vary by less than this while all is well
 	comeBack     = 2000 * ms  // a refused job met a fleet that stayed full for all of its slack
 	busyRate     = 0.02       // a node draws tens of times a second when it is busy
+	queueShare   = 0.3        // of its slots: a queue that keeps a worker at work until the next push
+	failsFew     = 0.15       // of the jobs that a worker was sent: one failure happens, two tell
 )
 
 // Announce takes in news of the worker list.
@@ -88,6 +88,7 @@
 	if d.jobs[in.ID] != nil {
 		return
 	}
+	d.widest = max(d.widest, in.Slots)
 	if in.Class < 0 || in.Class >= len(d.s.Classes) || in.GiveUpAt <= now+2*d.s.Tick {
 		d.act.Refuse(in.ID, min(comeBack, d.s.MaxRetry))
 		return
@@ -185,10 +186,13 @@
 }
 
 // usable tells whether j may go to w at all. One that was ejected is tried with jobs that may be repeated, if
-// there are such, until it serves one: an unsafe job would be lost on it if it fails again.
+// there are such, until it serves some: an unsafe job would be lost on it. One that only fails now and then
+// is better than none to a job that found no room elsewhere and has attempts to spare.
 func (d *Dispatcher) usable(j *job, w *worker) bool {
-	return w.State == Ready && w.badUntil <= d.now && w.fullUntil <= d.now && w.late == 0 &&
-		(w.level == 0 || j.class.Effect != Unsafe || !d.canTry) && w.shuns[j.Job.Class].until <= d.now &&
+	again := j.class.Effect != Unsafe
+	spare := w.fails > learnRate/2 && w.lost == 0 && again && j.misses > 0 && len(j.attempts) < d.s.MaxAttempts-1
+	return w.State == Ready && (w.badUntil <= d.now || spare) && w.fullUntil <= d.now && w.late == 0 &&
+		(w.level == 0 && w.fails < failsFew || again || !d.canTry) && w.shuns[j.Job.Class].until <= d.now &&
 		(j.class.Kind < 0 || j.class.Kind == w.Kind) && d.mayRepeat(j, w)
 }
 
@@ -232,10 +236,9 @@
 	return d.s.ColdFrom + (1-d.s.ColdFrom)*max(0, float64(age))/float64(d.s.ColdSpan)
 }
 
-// admit lets a cold worker into a draw as often as keeps it standing. Idle, it would win every pair of
-// every node and fall over. So it saves up credit at the rate that we send work to a warm one, times its
-// warmth, and each draw that meets it stakes all the credit on one throw: on average we send no more than
-// was saved, however rarely we meet it and however many nodes do the same.
+// admit lets a cold worker into a draw as often as keeps it standing. Idle, it would win every pair. So it
+// saves up credit at the rate that we send work to a warm one, times its warmth, and each draw that meets it
+// stakes all on one throw: on average we send what was saved, however many nodes do the same.
 func (d *Dispatcher) admit(j *job, w *worker) bool {
 	warmth := d.warmth(w)
 	if warmth >= 1 {
@@ -252,7 +255,7 @@
 	return won
 }
 
-// settle pushes to the lighter of the pair that has room, or holds the job.
+// settle pushes to the lighter of the pair that has room, or holds the job. More free slots are lighter.
 func (d *Dispatcher) settle(j *job) {
 	var best *worker
 	var bestLoad Report
@@ -265,8 +268,12 @@
 		if !fits {
 			w.tightUntil, w.tightFor = d.now+d.brief(tightSpan), j.Slots
 		}
-		r.FreeSlots /= slow * slow // a slow one keeps what it has for longer
-		if fits && d.inTime(j, slow) && (best == nil || lighter(w, r, best, bestLoad)) {
+		if r.FreeSlots > 0 {
+			r.FreeSlots /= slow * slow // a slow one keeps what it has for longer
+		}
+		inTime := slow <= 1 || d.now+Time(slow*float64(j.work)) <= j.aimAt
+		if fits && inTime && (best == nil || r.FreeSlots > bestLoad.FreeSlots ||
+			r.FreeSlots == bestLoad.FreeSlots && w.out < best.out) {
 			best, bestLoad = w, r
 		}
 	}
@@ -276,12 +283,11 @@
 		return
 	}
 	d.busy -= busyRate * d.busy
-	d.push(j, best)
+	d.push(j, best, Time(d.run*max(0, 0.5-bestLoad.FreeSlots)/max(1, d.sizeOf(best))))
 }
 
-// affords throttles the jobs that are worth least for their work while free slots are contended. Every node
-// with a job in hand sees the same slot come free, and a report lags: without this they all push to it,
-// its queue fills, and the answers come late. Each node learns the price of a slot from its own pushes.
+// affords throttles the jobs that are worth least for their work while all nodes push to the same slots as
+// they come free. Each learns the price of a slot from its own pushes.
 func (d *Dispatcher) affords(j *job) bool {
 	part := d.value(j) / d.price
 	return part >= 1 || d.rng.Float64() < part*part
@@ -300,8 +306,7 @@
 }
 
 // reprice moves the price of a slot: up when a push met a slot that was taken already, else down. It rises
-// only as far as draws in fact find no room: where slots stand free, a late start has another cause, and
-// throttling would leave them idle.
+// only as far as draws in fact find no room: where slots stand free, a late start has another cause.
 func (d *Dispatcher) reprice(collided bool) {
 	if collided {
 		d.price *= 1 + (priceUp-1)*d.busy
@@ -310,8 +315,7 @@
 	}
 }
 
-// slowness tells from the time a probe took how many times slower than usual a worker is just now. One that
-// lost its cores to another program, or is cold or ailing, still shows free slots, but is slow to answer.
+// slowness tells from the time a probe took how many times slower than usual w is, whatever slots it shows.
 func (d *Dispatcher) slowness(w *worker, echo Time) float64 {
 	usual := d.usual[w.Zone]
 	if usual <= 0 || float64(echo) < slowFrom*usual {
@@ -320,11 +324,6 @@
 	return float64(echo) / usual
 }
 
-// inTime tells whether j would end within its aim on a worker that much slower than usual.
-func (d *Dispatcher) inTime(j *job, slow float64) bool {
-	return slow <= 1 || d.now+Time(slow*float64(j.work)) <= j.aimAt
-}
-
 // learnEcho keeps the median time of a probe for each zone: a step up or down with each answer.
 func (d *Dispatcher) learnEcho(w *worker, echo Time) {
 	usual := &d.usual[w.Zone]
@@ -339,7 +338,8 @@
 }
 
 // room takes our own pushes that the report can't show yet off what it shows, and tells whether j fits.
-// A worker's own queue is blind, so a job without room waits here, where the next draw may do better.
+// A worker's own queue is blind, so a job without room waits here, where the next draw may do better. Where
+// it tells its queue and no job is wider than a slot, a short one keeps slots from idling till the next look.
 func (d *Dispatcher) room(j *job, w *worker, r Report) (Report, bool) {
 	// More jobs than slots taken: one too wide blocks the rest. Nor does noise make room for one beside another.
 	if size := d.sizeOf(w); r.Has&HasInFlight != 0 && r.InFlight == 0 {
@@ -349,9 +349,9 @@
 	} else if size > 0 && r.Has&HasInFlight != 0 {
 		r.FreeSlots = min(r.FreeSlots, size-max(1, r.InFlight))
 	}
-	keep, shown := w.recent[:0], r.FreeSlots
+	keep, shown, queues := w.recent[:0], r.FreeSlots, d.widest <= 1 && r.Has&HasQueue != 0
 	for _, c := range w.recent {
-		if d.now-c.at < min(2*d.lag, max(reportLag, d.lag)) {
+		if (c.slots > 0 || queues) && d.now-c.at < min(2*d.lag, max(reportLag, d.lag)) {
 			keep = append(keep, c)
 			r.FreeSlots -= c.slots
 			r.FreeMemory -= c.memory
@@ -361,10 +361,14 @@
 	if d.s.Nodes == 1 { // all that it holds is ours, and some of that the report shows already
 		r.FreeSlots = max(r.FreeSlots, min(shown, w.size-w.held))
 	}
-	need := j.Slots
+	need, ahead := j.Slots, 0.5
+	if queues {
+		r.FreeSlots -= r.Queue
+		ahead = max(ahead, queueShare*d.sizeOf(w))
+	}
 	switch {
 	case r.Has&HasFreeSlots != 0:
-		return r, r.FreeSlots > need-0.5 && (r.Has&HasFreeMemory == 0 || r.FreeMemory >= j.Memory)
+		return r, r.FreeSlots > need-ahead && (r.Has&HasFreeMemory == 0 || r.FreeMemory >= j.Memory)
 	case r.Has&HasQueue != 0:
 		r.FreeSlots = -r.Queue
 		return r, r.Queue < 1
@@ -376,15 +380,8 @@
 	return r, r.Has&HasUtil == 0 || r.Util < 0.97
 }
 
-// lighter tells whether a beats b: more free slots win, then fewer own jobs in flight.
-func lighter(a *worker, ra Report, b *worker, rb Report) bool {
-	if ra.FreeSlots != rb.FreeSlots {
-		return ra.FreeSlots > rb.FreeSlots
-	}
-	return a.out < b.out
-}
-
-func (d *Dispatcher) push(j *job, w *worker) {
+// push sends j to w, where it is expected to wait that long in the queue.
+func (d *Dispatcher) push(j *job, w *worker, wait Time) {
 	if len(j.attempts) >= d.s.MaxAttempts {
 		d.hold(j)
 		return
@@ -399,12 +396,11 @@
 	d.pushed[d.far(w)] += float64(j.work) * j.Slots
 	d.act.Push(j.ID, w.ID, j.GiveUpAt-d.now)
 	if d.s.TellsStart {
-		d.act.Wake(startSoon, wakeStart|uint64(n)<<32|uint64(j.ID))
+		d.act.Wake(startSoon+wait, wakeStart|uint64(n)<<32|uint64(j.ID))
 	}
 }
 
-// hold keeps a job that found no room and draws a fresh pair after a jittered backoff, or sheds it when
-// the time left can't serve it: work that ends late is waste, and a refusal is harmless to try again.
+// hold keeps a job that found no room and draws a fresh pair after a jittered backoff, or sheds it if late.
 func (d *Dispatcher) hold(j *job) {
 	j.draw++
 	j.misses++
@@ -471,6 +467,7 @@
 	switch s {
 	case Served:
 		a.w.level /= 2
+		a.w.fails *= 1 - learnRate
 		a.w.broken, a.w.shuns[j.Job.Class].strikes = 0, 0
 		run := float64(d.now - a.startedAt)
 		d.runs[j.Job.Class] += learnRate * (run - d.runs[j.Job.Class])
@@ -487,7 +484,10 @@
 		if a.w.broken++; a.w.broken >= brokenFrom {
 			d.eject(a.w)
 		}
-	case Error, ConnectFailed:
+	case Error:
+		a.w.fails += learnRate * (1 - a.w.fails)
+		d.eject(a.w)
+	case ConnectFailed:
 		d.eject(a.w)
 	}
 }
@@ -613,8 +613,7 @@
 	}
 }
 
-// overdue acts on a start note that did not come from a worker that had shown room. The slot was taken, or a
-// job too large for what is free blocks the queue, or the worker hangs: whichever it is, nothing more goes
+// overdue acts on a start note that did not come in the time expected. Whatever the cause, nothing more goes
 // there while our own job waits, and a job that may be repeated tries its luck elsewhere too.
 func (d *Dispatcher) overdue(j *job, n int) {
 	if n >= len(j.attempts) || !j.attempts[n].out || j.attempts[n].started {
@@ -632,16 +631,15 @@
 }
 
 // learnLag keeps how long reports stand, on the mean: looks at one worker in quick succession, by their
-// span, over those that found a new report. Only where we hold more or less there than at the last look must
-// there be one; a worker with nothing free may well say so twice and tells nothing.
+// span, over those that found a new report. Only where what we hold there changed must there be one.
 func (d *Dispatcher) learnLag(w *worker, r Report) {
 	gap, differs := d.now-w.shownAt, w.out != w.shownOut
-	if gap > 0 && gap <= lagLook && differs && r.FreeSlots+r.InFlight > 0 {
+	if gap > 0 && gap <= reportLag && differs && r.FreeSlots+r.InFlight > 0 {
 		d.looked += float64(gap)
 		if r != w.shown {
 			d.changed++
 		}
-		if d.looked > 40*float64(lagLook) { // old looks fade
+		if d.looked > 40*float64(reportLag) { // old looks fade
 			d.looked, d.changed = d.looked/2, d.changed/2
 		}
 		d.lag = min(Time(d.looked/d.changed), lagMost)
--- a/decide/events.go
+++ b/decide/events.go
@@ -83,7 +83,7 @@
 	j.out--
 	a.w.out--
 	a.w.held -= j.Slots
-	a.w.freed(j.ID, o.Attempt)
+	a.w.freed(d.now, j.ID, o.Attempt, j.Slots)
 	a.onTime()
 	d.judge(j, a, o.Status)
 	d.drop(a.w)
--- a/decide/failures_test.go
+++ b/decide/failures_test.go
@@ -366,7 +366,7 @@
 			t.Errorf("ejected after %d broken attempts", i)
 		}
 		j := d.newJob(Job{ID: 10 + uint32(i), Class: 0, GiveUpAt: start + 5*second})
-		d.push(j, w)
+		d.push(j, w, 0)
 		d.Outcome(start+2*ms, Outcome{Job: j.ID, Worker: w.ID, Status: Reset})
 	}
 	if w.badUntil <= d.now {
@@ -462,7 +462,7 @@
 	if !d.usable(j, w) {
 		t.Error("it must be tried again")
 	}
-	d.push(j, w)
+	d.push(j, w, 0)
 	d.Outcome(d.now+ms, Outcome{Job: 2, Worker: w.ID, Status: Served})
 	if w.shuns[0].strikes != 0 {
 		t.Error("served: nothing is held against it")
@@ -696,3 +696,94 @@
 		}
 	}
 }
+
+// Where workers tell their queues and every job takes one slot, a slot once stood idle from a job's end until a draw met
+// a report that showed it, while two in five jobs were refused.
+func TestAShortQueueWhereItIsTold(t *testing.T) {
+	const told = HasFreeSlots | HasQueue
+	for name, c := range map[string]struct {
+		has         Fields
+		widest      float64
+		free, queue float64
+		ends        float64
+		fits        bool
+	}{
+		"full, nobody waits":              {told, 1, 0, 0, 0, true},
+		"full, one waits":                 {told, 1, 0, 1, 0, false},
+		"full, one waits, one of us left": {told, 1, 0, 1, 1, true},
+		"full, the queue is not told":     {HasFreeSlots, 1, 0, 0, 0, false},
+		"not told, one of us left":        {HasFreeSlots, 1, 0, 0, 1, false},
+		"wide jobs":                       {told, 2, 0, 0, 1, false},
+	} {
+		d, _ := newNode(t, testSettings(), fleet(2)...)
+		w := d.workers[1]
+		w.size, d.widest = 4, c.widest
+		if c.ends > 0 {
+			w.freed(d.now, 1, 0, c.ends)
+		}
+		load := Report{Has: c.has, FreeSlots: c.free, Queue: c.queue}
+		if _, fits := d.room(&job{Job: Job{Slots: 1}}, w, load); fits != c.fits {
+			t.Errorf("%s: fits %v", name, fits)
+		}
+	}
+	d, r := newNode(t, testSettings(), fleet(2)...)
+	j := d.newJob(Job{ID: 1, GiveUpAt: start + 5*second})
+	r.take("")
+	d.push(j, d.workers[1], 300*ms)
+	for _, a := range r.take("wake") {
+		if a.token>>56 == wakeStart>>56 && a.span != startSoon+300*ms {
+			t.Errorf("its start is late after %d ms", a.span/ms)
+		}
+	}
+}
+
+// Workers that failed four in five jobs within 30 ms were left for 20 s; a quarter of a fleet's slots stood idle beside
+// jobs that were refused, though a repeat of a keyed one costs next to nothing. What must not run twice keeps away
+// until several in a row were served: one that was served by luck once brought the next to a sick worker.
+func TestAFailingWorkerIsBetterThanNone(t *testing.T) {
+	d, _ := newNode(t, testSettings(), fleet(10)...)
+	w := d.workers[1]
+	end := func(s Status) {
+		j := d.newJob(Job{ID: uint32(d.now), Class: 0, GiveUpAt: d.now + second})
+		d.push(j, w, 0)
+		d.Outcome(d.now+ms, Outcome{Job: j.ID, Status: s, Closed: true})
+	}
+	end(Error)
+	keyed, unsafe := &job{class: &d.s.Classes[2]}, &job{class: &d.s.Classes[1]}
+	if d.usable(keyed, w) {
+		t.Error("drawn at first")
+	}
+	keyed.misses, unsafe.misses = 1, 1
+	if !d.usable(keyed, w) || d.usable(unsafe, w) {
+		t.Error("without room elsewhere: for what may be repeated, and for that only")
+	}
+	keyed.attempts = make([]attempt, d.s.MaxAttempts-1)
+	for i := range keyed.attempts {
+		keyed.attempts[i] = attempt{w: w, sent: d.now, mayHaveRun: true}
+	}
+	if d.usable(keyed, w) {
+		t.Error("the last attempt goes to a sound worker")
+	}
+	d.now = w.badUntil + 1
+	if end(Served); !d.usable(unsafe, w) {
+		t.Error("one failure may happen to any")
+	}
+	for range 3 {
+		end(Error)
+	}
+	d.now = w.badUntil + 1
+	end(Served)
+	if end(Served); d.usable(unsafe, w) {
+		t.Error("served twice by luck")
+	}
+	for range 8 {
+		end(Served)
+	}
+	if !d.usable(unsafe, w) {
+		t.Error("a worker that serves again stays shut")
+	}
+	w.badUntil, w.lost, w.fails = d.now+second, lostFrom, 1
+	if keyed.attempts = nil; d.usable(keyed, w) {
+		t.Error("one that answers no probe fails everything")
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -24,6 +24,7 @@
 	denied    int       // probes refused in a row
 	broken    int       // attempts broken off in a row
 	level     int       // grows the next term of ejection
+	fails     float64   // share of attempts that it failed, lately
 	credit    float64   // work that this node may still send it while it is cold
 	shown     Report    // its last report
 	shownAt   Time
@@ -117,6 +118,7 @@
 	looked, changed float64         // the looks behind it
 	usual           []float64       // median time of a probe, by zone
 	sizes           map[int]float64 // slots of a worker on the mean, by kind
+	widest          float64         // slots of the widest job seen
 	canTry          bool            // some class may be repeated
 	price           float64         // what a second of work must be worth to get a contended slot for sure
 	busy            float64         // share of draws that found no room, lately
@@ -330,10 +332,14 @@
 	return p, true
 }
 
-// freed ends the claim of an attempt: what has ended holds no slot, however young it was. It also ends what an
-// earlier probe told of a lack of room.
-func (w *worker) freed(job uint32, attempt int) {
+// freed ends the claim of an attempt: what has ended holds no slot, however young it was. If its report may show it
+// still, the end is noted as a claim of less than nothing. It also ends what an earlier probe told of a lack of room.
+func (w *worker) freed(now Time, job uint32, attempt int, slots float64) {
+	claims := len(w.recent)
 	w.recent = slices.DeleteFunc(w.recent, func(c claim) bool { return c.job == job && c.attempt == attempt })
+	if len(w.recent) == claims {
+		w.recent = append(w.recent, claim{at: now, slots: -slots})
+	}
 	w.tightUntil = 0
 }
 
