The price of a slot rises with draws without room; short jobs and late ones are reckoned with

The price rose only with late starts, of which a short queue leaves few, and a job without a hint was expected to run for the mean of its class, so that a short one was pushed too late. At fault: settle (no word of a queue's wait, late jobs queue), reprice (late starts), appraise and inTime (the mean).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -27,8 +27,8 @@
 	coldShare    = 1.6        // a cold worker gets this part of a warm one's load, times its sure warmth
 	coldJob      = 0.25       // no single job may take more than this part of a cold worker's fall budget
 	learnRate    = 0.1        // weight of the newest in a running mean
-	priceUp      = 1.2        // a few collisions in a row must tell
-	priceDown    = 0.95       // at balance about one push in four collides
+	priceUp      = 1.2        // a few draws without room in a row must tell
+	priceDown    = 0.95       // each start in time shows that slots are to be had
 	priceFade    = 0.9        // a second: a price that lets nothing through would never learn better
 	nearPerPrice = 1.5        // near draws only, for this part of the slack times the price of crossing
 	shareBurst   = 8          // seconds of a tenant's share may come at once: a node sees few jobs, unevenly
@@ -36,11 +36,10 @@
 	lagMost      = 1000 * ms  // a report older than that says nothing, and claims must not outlive it
 	usualRun     = 100 * ms   // the spans above suit jobs that run at least as long
 	hearsaySpan  = 10000 * ms // two peers' complaints of a worker within this span are believed
-	fullCounts   = 0.3        // being turned away says more of scarcity than one draw that finds no room
-	lateCounts   = 0.05       // so does a late start, less surely
 	slowFrom     = 2          // probes vary by less than this while all is well
 	comeBack     = 2000 * ms  // a refused job met a fleet that stayed full for all of its slack
 	busyRate     = 0.02       // a node draws tens of times a second when it is busy
+	shortRun     = 0.3        // of the mean: about every third run is that short
 	queueShare   = 0.3        // of its slots: a queue that keeps a worker at work until the next push
 	failsFew     = 0.15       // of the jobs that a worker was sent: one failure happens, two tell
 )
@@ -108,8 +107,8 @@
 	// The client has been waiting since its first try; what is left of its patience tells since when.
 	d.share = max(d.share, min(1, float64(j.GiveUpAt-d.now)/float64(j.class.Deadline)))
 	origin := min(d.now, j.GiveUpAt-Time(d.share*float64(j.class.Deadline)))
-	j.aimAt = origin + j.class.Aim + Time(j.class.Stretch*float64(j.work))
-	j.latest = min(j.aimAt, j.GiveUpAt) - j.work
+	j.aimAt = origin + j.class.Aim
+	j.latest = min(d.startBy(j, 1), j.GiveUpAt-j.work)
 	j.nearUntil = d.now + Time(min(1, nearPerPrice*d.s.PriceCross)*float64(j.latest-d.now))
 	j.over = !d.withinShare(j.Tenant)
 	if v := d.value(j); d.cheapest == 0 || v < d.cheapest {
@@ -190,7 +189,7 @@
 // is better than none to a job that found no room elsewhere and has attempts to spare.
 func (d *Dispatcher) usable(j *job, w *worker) bool {
 	again := j.class.Effect != Unsafe
-	spare := w.fails > learnRate/2 && w.lost == 0 && again && j.misses > 0 && len(j.attempts) < d.s.MaxAttempts-1
+	spare := w.fails > failsFew && w.lost == 0 && again && j.misses > 0 && len(j.attempts) < d.s.MaxAttempts-1
 	return w.State == Ready && (w.badUntil <= d.now || spare) && w.fullUntil <= d.now && w.late == 0 &&
 		(w.level == 0 && w.fails < failsFew || again || !d.canTry) && w.shuns[j.Job.Class].until <= d.now &&
 		(j.class.Kind < 0 || j.class.Kind == w.Kind) && d.mayRepeat(j, w)
@@ -255,39 +254,43 @@
 	return won
 }
 
-// settle pushes to the lighter of the pair that has room, or holds the job. More free slots are lighter.
+// settle pushes to the lighter of the pair that has room, where the job should end sooner, or holds the job.
 func (d *Dispatcher) settle(j *job) {
 	var best *worker
-	var bestLoad Report
+	var bestWait, bestEnd Time
+	var bestFree float64
 	for i, w := range j.pair {
 		if w == nil || !j.answered[i] || !d.usable(j, w) {
 			continue
 		}
 		slow := d.slowness(w, j.echo[i])
-		r, fits := d.room(j, w, j.load[i])
+		r, queue, fits := d.room(j, w, j.load[i])
 		if !fits {
 			w.tightUntil, w.tightFor = d.now+d.brief(tightSpan), j.Slots
 		}
-		if r.FreeSlots > 0 {
-			r.FreeSlots /= slow * slow // a slow one keeps what it has for longer
-		}
-		inTime := slow <= 1 || d.now+Time(slow*float64(j.work)) <= j.aimAt
-		if fits && inTime && (best == nil || r.FreeSlots > bestLoad.FreeSlots ||
-			r.FreeSlots == bestLoad.FreeSlots && w.out < best.out) {
-			best, bestLoad = w, r
+		wait := Time(slow * queue)
+		end := wait + Time(slow*float64(j.work))
+		// What is too late already must keep nobody waiting.
+		fits = fits && (d.now+wait <= d.startBy(j, slow) || wait == 0 && d.now > d.startBy(j, 1))
+		if fits && (best == nil || end < bestEnd || end == bestEnd && (r.FreeSlots > bestFree ||
+			r.FreeSlots == bestFree && w.out < best.out)) {
+			best, bestWait, bestEnd, bestFree = w, wait, end, r.FreeSlots
 		}
 	}
 	if best == nil {
 		d.busy += busyRate * (1 - d.busy)
+		if d.value(j) >= d.price && (j.answered[0] || j.answered[1]) { // silence says nothing of slots
+			d.price *= 1 + (priceUp-1)*d.busy*d.busy
+		}
 		d.hold(j)
 		return
 	}
 	d.busy -= busyRate * d.busy
-	d.push(j, best, Time(d.run*max(0, 0.5-bestLoad.FreeSlots)/max(1, d.sizeOf(best))))
+	d.push(j, best, bestWait)
 }
 
-// affords throttles the jobs that are worth least for their work while all nodes push to the same slots as
-// they come free. Each learns the price of a slot from its own pushes.
+// affords throttles the jobs that are worth least for their work while a job worth the price of a slot finds
+// none (settle): else the cheap ones take each slot as it comes free. Starts in time lower the price.
 func (d *Dispatcher) affords(j *job) bool {
 	part := d.value(j) / d.price
 	return part >= 1 || d.rng.Float64() < part*part
@@ -305,16 +308,6 @@
 	return worth / j.Slots
 }
 
-// reprice moves the price of a slot: up when a push met a slot that was taken already, else down. It rises
-// only as far as draws in fact find no room: where slots stand free, a late start has another cause.
-func (d *Dispatcher) reprice(collided bool) {
-	if collided {
-		d.price *= 1 + (priceUp-1)*d.busy
-	} else {
-		d.price = max(d.price*priceDown, d.cheapest/2)
-	}
-}
-
 // slowness tells from the time a probe took how many times slower than usual w is, whatever slots it shows.
 func (d *Dispatcher) slowness(w *worker, echo Time) float64 {
 	usual := d.usual[w.Zone]
@@ -324,6 +317,15 @@
 	return float64(echo) / usual
 }
 
+// startBy is the last moment at which j may start and end in time on a worker that much slower than usual.
+func (d *Dispatcher) startBy(j *job, slow float64) Time {
+	spare := (j.class.Stretch - slow) * float64(j.work)
+	if j.Hint <= 0 {
+		spare = min(spare, spare*shortRun)
+	}
+	return j.aimAt + Time(spare)
+}
+
 // learnEcho keeps the median time of a probe for each zone: a step up or down with each answer.
 func (d *Dispatcher) learnEcho(w *worker, echo Time) {
 	usual := &d.usual[w.Zone]
@@ -337,10 +339,10 @@
 	}
 }
 
-// room takes our own pushes that the report can't show yet off what it shows, and tells whether j fits.
-// A worker's own queue is blind, so a job without room waits here, where the next draw may do better. Where
-// it tells its queue and no job is wider than a slot, a short one keeps slots from idling till the next look.
-func (d *Dispatcher) room(j *job, w *worker, r Report) (Report, bool) {
+// room takes our own pushes that the report can't show yet off what it shows. It tells how long j would queue
+// and whether it fits. A worker's own queue is blind, so a job without room waits here. Where it is told and
+// no job is wider than a slot, a short one keeps slots from idling till the next look.
+func (d *Dispatcher) room(j *job, w *worker, r Report) (load Report, queue float64, fits bool) {
 	// More jobs than slots taken: one too wide blocks the rest. Nor does noise make room for one beside another.
 	if size := d.sizeOf(w); r.Has&HasInFlight != 0 && r.InFlight == 0 {
 		r.FreeSlots = max(r.FreeSlots, w.size)
@@ -368,16 +370,17 @@
 	}
 	switch {
 	case r.Has&HasFreeSlots != 0:
-		return r, r.FreeSlots > need-ahead && (r.Has&HasFreeMemory == 0 || r.FreeMemory >= j.Memory)
+		queue = d.run * max(0, 0.5-r.FreeSlots) / max(1, d.sizeOf(w))
+		return r, queue, r.FreeSlots > need-ahead && (r.Has&HasFreeMemory == 0 || r.FreeMemory >= j.Memory)
 	case r.Has&HasQueue != 0:
 		r.FreeSlots = -r.Queue
-		return r, r.Queue < 1
+		return r, 0, r.Queue < 1
 	case r.Has&HasInFlight != 0:
 		r.FreeSlots = -r.InFlight
 	default:
 		r.FreeSlots = -float64(w.out)
 	}
-	return r, r.Has&HasUtil == 0 || r.Util < 0.97
+	return r, 0, r.Has&HasUtil == 0 || r.Util < 0.97
 }
 
 // push sends j to w, where it is expected to wait that long in the queue.
@@ -478,8 +481,6 @@
 		}
 	case Full:
 		a.w.fullUntil = d.now + d.brief(reportLag)
-		d.busy += fullCounts * (1 - d.busy) // true whatever late reports show
-		d.reprice(true)
 	case Reset: // connections break on sound workers too, and those that are gone answer no probe
 		if a.w.broken++; a.w.broken >= brokenFrom {
 			d.eject(a.w)
@@ -604,7 +605,7 @@
 	a := &j.attempts[n]
 	a.started, a.startedAt = true, d.now
 	if !a.late {
-		d.reprice(false)
+		d.price = max(d.price*priceDown, d.cheapest/2)
 	}
 	a.onTime()
 	if !j.closed {
@@ -622,8 +623,6 @@
 	a := &j.attempts[n]
 	a.late = true
 	a.w.late++
-	d.busy += lateCounts * (1 - d.busy)
-	d.reprice(true)
 	if j.class.Effect != Unsafe && d.s.SecondCopies && !j.drawing && d.lag < lagFresh {
 		d.drawPair(j) // mayRepeat keeps it inside its key's scope
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -75,7 +75,7 @@
 	class     *Class
 	work      Time // expected running time
 	nearUntil Time // draws stay in our own zone until then
-	aimAt     Time // an answer after this comes late
+	aimAt     Time // an answer after this, and Stretch x its work, comes late
 	latest    Time // a push after this comes to nothing
 	over      bool // beyond its tenant's share
 	attempts  []attempt
