--- a/internal/emulator/check.go
+++ b/internal/emulator/check.go
@@ -186,7 +186,7 @@
 	terms := c.s.Classes[q.class].Terms
 	for _, a := range q.attempts {
 		switch {
-		case !a.over:
+		case !a.over && !c.s.SecondCopies:
 			c.found("no effect twice: two attempts out: " + text)
 		case a.ranNot:
 		case terms.Effect == decide.Unsafe:
--- a/internal/emulator/parties.go
+++ b/internal/emulator/parties.go
@@ -22,6 +22,7 @@
 	queue   []*attempt
 	active  []*attempt
 	slow    []float64 // factors, one for each trouble
+	fails   []float64 // shares of jobs that fail, one for each trouble
 	silent  int       // troubles that keep it silent
 	dead    int       // troubles that keep its process down
 	fallen  bool
@@ -84,10 +85,30 @@
 		a.back(decide.Full)
 		return
 	}
+	for _, share := range b.fails {
+		if r := x.rng(b.stream); r.Float64() < share {
+			x.note("fail %d.%d box=%d", a.q.id, a.n, b.index)
+			a.ended = true
+			x.after(Time(10*ms+20*ms*r.Float64()), func() { a.back(decide.Error) })
+			return
+		}
+	}
 	b.queue = append(b.queue, a)
 	b.next()
 }
 
+// stop ends an attempt that nobody waits for any more: one that waits is dropped, and where the script says so one that
+// runs stops.
+func (b *box) stop(a *attempt) {
+	b.queue = slices.DeleteFunc(b.queue, func(v *attempt) bool { return v == a })
+	if i := slices.Index(b.active, a); i >= 0 && b.x.script.Stops {
+		a.ended = true
+		b.running -= a.q.try.slots
+		b.active = slices.Delete(b.active, i, i+1)
+		b.next()
+	}
+}
+
 // pushedOver books the work and reports whether a cold box gets more than it bears: what comes within the span, whether
 // it is taken or not, against the multiple of what it can do now.
 func (b *box) pushedOver(work float64) bool {
@@ -121,11 +142,15 @@
 	b.active, b.queue, b.running = nil, nil, 0
 }
 
-// next starts waiting jobs in order; the first waits until it fits.
+// next starts waiting jobs in order; the first waits until it fits, or lets by any that does.
 func (b *box) next() {
-	for len(b.queue) > 0 && b.up() && b.running+b.queue[0].q.try.slots <= b.kind.Slots {
-		a := b.queue[0]
-		b.queue = b.queue[1:]
+	for b.up() {
+		i := slices.IndexFunc(b.queue, func(a *attempt) bool { return b.running+a.q.try.slots <= b.kind.Slots })
+		if i < 0 || i > 0 && !b.x.script.Backfill {
+			return
+		}
+		a := b.queue[i]
+		b.queue = slices.Delete(b.queue, i, i+1)
 		b.running += a.q.try.slots
 		b.active = append(b.active, a)
 		b.x.note("start %d.%d box=%d", a.q.id, a.n, b.index)
@@ -179,6 +204,10 @@
 		b.shown = decide.Report{Has: decide.HasFreeSlots | decide.HasInFlight | decide.HasUtil,
 			FreeSlots: noisy(float64(b.kind.Slots - b.running)), InFlight: noisy(float64(len(b.active) + len(b.queue))),
 			Util: min(1, noisy(float64(b.running)/float64(b.kind.Slots)))}
+		if x.script.TellsQueue {
+			b.shown.Has |= decide.HasQueue
+			b.shown.Queue = noisy(float64(len(b.queue)))
+		}
 		b.shownAt = x.now
 	}
 	return b.shown
@@ -346,7 +375,12 @@
 			n.cross++
 		}
 		x.note("push %d.%d node=%d box=%d", id, t.n, n.index, t.b.index)
-		x.after(timeout, func() { t.outcome(decide.TimedOut) })
+		x.after(timeout, func() {
+			if !t.over {
+				t.outcome(decide.TimedOut)
+				t.b.stop(t)
+			}
+		})
 		t.b.coming += q.try.slots
 		x.after(x.delay(n.zone, t.b.zone, n.stream), func() {
 			t.b.coming -= q.try.slots
@@ -375,8 +409,12 @@
 			case b.silent > 0:
 			default:
 				wait := max(0, b.paused-x.now)
-				for _, f := range b.slow {
-					wait += Time(f * 1000) // a box without its cores is slow to answer too
+				if x.script.ProbeWork > 0 {
+					wait += Time(float64(x.script.ProbeWork) / b.speed())
+				} else {
+					for _, f := range b.slow {
+						wait += Time(f * 1000) // a box without its cores is slow to answer too
+					}
 				}
 				x.after(wait+x.delay(b.zone, n.zone, n.stream), func() { end(decide.Served, b.report()) })
 			}
@@ -393,9 +431,7 @@
 		t := q.attempts[i]
 		t.outcome(decide.Cancelled)
 		x := a.n.x
-		x.after(x.delay(a.n.zone, t.b.zone, a.n.stream), func() { // what still waits there is dropped; what runs goes on
-			t.b.queue = slices.DeleteFunc(t.b.queue, func(v *attempt) bool { return v == t })
-		})
+		x.after(x.delay(a.n.zone, t.b.zone, a.n.stream), func() { t.b.stop(t) })
 	})
 }
 
--- a/internal/emulator/script.go
+++ b/internal/emulator/script.go
@@ -23,6 +23,8 @@
 	Rate       float64   // requests a second, of all
 	Curve      []float64 // the rate's course, points evenly spread over For
 	Retries    int       // of a client
+	ByRequest  bool      // worth counts for each request, not for each unit of work
+	NoHints    bool      // requests don't tell their work
 	RetryWait  Time
 
 	Same, Cross  Time // one way within a zone and between two
@@ -37,6 +39,13 @@
 	FallSpan     Time
 	DrainGrace   Time
 
+	Backfill     bool // boxes start any waiting job that fits, not only the first
+	TellsQueue   bool // reports hold the queue too
+	Stops        bool // running work stops when its attempt is called off or its time is up
+	SecondCopies bool
+	Attempts     int  // of a request
+	ProbeWork    Time // what a probe costs a box, as work on a slot of speed 1
+
 	Troubles []Trouble
 }
 
@@ -65,6 +74,7 @@
 	From, To Time
 	Part     float64 // of the boxes, or of the requests
 	Times    float64 // slower, or more work
+	Takes    float64 // of a box by another program, or of its jobs that fail
 	Zone     string
 	Class    string
 	Pause    Time // of a box that stands still
@@ -83,13 +93,18 @@
 	"restart":        {"every"},
 	"discovery_down": {},
 	"flapping":       {"part", "every"},
+	"fast_errors":    {"part", "takes"},
+	"neighbour":      {"part", "takes", "every"},
+	"shared_slow":    {"times"},
+	"balancer_crash": {"part"},
 }
 
 // Settings are what a scheduler of that zone is told.
 func (s *Script) Settings(zone int) decide.Settings {
-	out := decide.Settings{Nodes: s.Schedulers, Zone: zone, Zones: len(s.Zones), CanProbe: true, CanCancel: true, MaxAttempts: 4,
-		MaxRetry: 2e6, DrainGrace: s.DrainGrace, ColdFrom: s.Cold, ColdSpan: s.Warms, FallMultiple: s.FallMultiple,
-		FallSpan: s.FallSpan, AnswerSlack: 16e3, Tick: 4e3, TellsStart: true, WorthByWork: true, PriceCross: 0.03}
+	out := decide.Settings{Nodes: s.Schedulers, Zone: zone, Zones: len(s.Zones), CanProbe: true, CanCancel: true, MaxAttempts: s.Attempts,
+		SecondCopies: s.SecondCopies,
+		MaxRetry:     2e6, DrainGrace: s.DrainGrace, ColdFrom: s.Cold, ColdSpan: s.Warms, FallMultiple: s.FallMultiple,
+		FallSpan: s.FallSpan, AnswerSlack: 16e3, Tick: 4e3, TellsStart: true, WorthByWork: !s.ByRequest, PriceCross: 0.03}
 	for _, c := range s.Classes {
 		out.Classes = append(out.Classes, c.Terms)
 	}
@@ -129,9 +144,10 @@
 	}
 	s := &Script{For: minute, Schedulers: 5, Rate: 26, Curve: []float64{1}, RetryWait: 50 * ms, Same: 200, Cross: 6 * ms, Jitter: 0.2,
 		Notice: 1e6, Refresh: 60 * ms, Noise: 0.1, ProbeTimeout: 500 * ms, Cold: 0.3, Warms: 8.6e6, FallMultiple: 4, FallSpan: 1500 * ms,
-		DrainGrace: 300 * ms, Zones: []string{"here"}}
+		DrainGrace: 300 * ms, Zones: []string{"here"}, Attempts: 4}
 	if l.World != nil {
 		zones, curve := "", ""
+		var words [6]string
 		r.Fields(l.World.Body, config.Field{Name: "for", Unit: config.Span, Least: 1e6, Most: 60 * minute, To: &s.For},
 			config.Field{Name: "zones", Unit: config.Word, To: &zones}, config.Field{Name: "curve", Unit: config.Word, To: &curve},
 			config.Field{Name: "schedulers", Unit: config.Count, Least: 1, Most: 5000, To: &s.Schedulers},
@@ -144,8 +160,24 @@
 			config.Field{Name: "notice", Unit: config.Span, Least: 0, Most: minute, To: &s.Notice},
 			config.Field{Name: "refresh", Unit: config.Span, Least: 0, Most: minute, To: &s.Refresh},
 			config.Field{Name: "noise", Unit: config.Number, Least: 0, Most: 1, To: &s.Noise},
+			config.Field{Name: "attempts", Unit: config.Count, Least: 1, Most: 100, To: &s.Attempts},
+			config.Field{Name: "drain_grace", Unit: config.Span, Least: 0, Most: minute, To: &s.DrainGrace},
+			config.Field{Name: "probe_work", Unit: config.Span, Least: 0, Most: 1e6, To: &s.ProbeWork},
+			config.Field{Name: "worth_by", Unit: config.Word, To: &words[0]}, config.Field{Name: "hints", Unit: config.Word, To: &words[1]},
+			config.Field{Name: "order", Unit: config.Word, To: &words[2]}, config.Field{Name: "reports", Unit: config.Word, To: &words[3]},
+			config.Field{Name: "cancels", Unit: config.Word, To: &words[4]}, config.Field{Name: "copies", Unit: config.Word, To: &words[5]},
 			config.Field{Name: "cold", Unit: config.Number, Least: 0.01, Most: 1, To: &s.Cold},
 			config.Field{Name: "warms", Unit: config.Span, Least: 0, Most: 10 * minute, To: &s.Warms})
+		for i, choice := range []struct {
+			name, usual, other string
+			to                 *bool
+		}{{"worth_by", "work", "request", &s.ByRequest}, {"hints", "good", "none", &s.NoHints}, {"order", "fifo", "backfill", &s.Backfill},
+			{"reports", "slots", "queue", &s.TellsQueue}, {"cancels", "queued", "all", &s.Stops}, {"copies", "one", "two", &s.SecondCopies}} {
+			if words[i] != "" && words[i] != choice.usual && words[i] != choice.other {
+				r.Fault(l.World.Body, "%s: allowed is %q or %q", choice.name, choice.usual, choice.other)
+			}
+			*choice.to = words[i] == choice.other
+		}
 		if zones != "" {
 			s.Zones = strings.Fields(zones)
 		}
@@ -191,6 +223,8 @@
 			config.Field{Name: "aim", Unit: config.Span, Least: ms, Most: 10 * minute, To: &c.Terms.Aim},
 			config.Field{Name: "stretch", Unit: config.Number, Least: 0, Most: 100, To: &c.Terms.Stretch},
 			config.Field{Name: "deadline", Unit: config.Span, Least: 10 * ms, Most: 10 * minute, To: &c.Terms.Deadline},
+			config.Field{Name: "late", Unit: config.Number, Least: 0, Most: 1, To: &c.Terms.LateWorth},
+			config.Field{Name: "memory", Unit: config.Span, Least: ms, Most: 60 * minute, To: &c.Terms.MemorySpan},
 			config.Field{Name: "worth", Unit: config.Number, Least: 0.001, Most: 1e6, To: &c.Terms.Worth})
 		kind, ok := effects[effect]
 		if !ok {
@@ -217,7 +251,7 @@
 
 func (s *Script) troubles(r *config.Reader, list []*labeled) {
 	for _, b := range list {
-		t := Trouble{Kind: b.Name, Part: 0.2, Times: 5, Pause: 100 * ms, Every: 2e6}
+		t := Trouble{Kind: b.Name, Part: 0.2, Times: 5, Takes: 0.5, Pause: 100 * ms, Every: 2e6}
 		var long Time = 10e6
 		with := ""
 		takes, ok := kinds[b.Name]
@@ -229,6 +263,7 @@
 			config.Field{Name: "for", Unit: config.Span, Least: ms, Most: 60 * minute, To: &long},
 			config.Field{Name: "part", Unit: config.Number, Least: 0.0001, Most: 1, To: &t.Part},
 			config.Field{Name: "times", Unit: config.Number, Least: 1, Most: 1000, To: &t.Times},
+			config.Field{Name: "takes", Unit: config.Number, Least: 0, Most: 0.99, To: &t.Takes},
 			config.Field{Name: "zone", Unit: config.Word, To: &t.Zone}, config.Field{Name: "class", Unit: config.Word, To: &t.Class},
 			config.Field{Name: "pause", Unit: config.Span, Least: ms, Most: minute, To: &t.Pause},
 			config.Field{Name: "every", Unit: config.Span, Least: 10 * ms, Most: 10 * minute, To: &t.Every},
--- a/internal/emulator/trouble.go
+++ b/internal/emulator/trouble.go
@@ -56,19 +56,47 @@
 			f()
 		}
 	}
+	slower := func(times float64) (on, off func(*box)) {
+		return func(b *box) {
+				b.slow = append(b.slow, times)
+				b.slowed()
+			}, func(b *box) {
+				if i := slices.Index(b.slow, times); i >= 0 {
+					b.slow = slices.Delete(b.slow, i, i+1)
+				}
+				b.slowed()
+			}
+	}
 	switch t.Kind {
 	case "vanish":
 		return draw(each(func(b *box) { b.vanish() })), each(func(b *box) { b.comeBack() })
 	case "slow":
-		return draw(each(func(b *box) {
-				b.slow = append(b.slow, t.Times)
-				b.slowed()
-			})), each(func(b *box) {
-				if i := slices.Index(b.slow, t.Times); i >= 0 {
-					b.slow = slices.Delete(b.slow, i, i+1)
+		on, off := slower(t.Times)
+		return draw(each(on)), each(off)
+	case "shared_slow":
+		on, off := slower(t.Times)
+		return func() { hit = x.boxes; each(on)() }, each(off)
+	case "neighbour":
+		on, off := slower(1 / (1 - t.Takes))
+		return draw(each(func(b *box) { x.onAndOff(t, name, func() { on(b) }, func() { off(b) }) })), func() {}
+	case "fast_errors":
+		return draw(each(func(b *box) { b.fails = append(b.fails, t.Takes) })), each(func(b *box) {
+			b.fails = slices.Delete(b.fails, slices.Index(b.fails, t.Takes), slices.Index(b.fails, t.Takes)+1)
+		})
+	case "balancer_crash":
+		var nodes []*node
+		return func() {
+				for _, i := range x.rng(name).Perm(len(x.nodes))[:max(1, int(t.Part*float64(len(x.nodes))+0.5))] {
+					if n := x.nodes[i]; !n.dead {
+						nodes = append(nodes, n)
+						n.die()
+					}
 				}
-				b.slowed()
-			})
+			}, func() {
+				for _, n := range nodes {
+					n.live()
+				}
+			}
 	case "pauses":
 		return draw(each(func(b *box) { b.pauses(t, name) })), func() {}
 	case "heavy_tail":
@@ -159,6 +187,19 @@
 	})
 }
 
+// onAndOff switches something on and off until the trouble ends; it is off then.
+func (x *World) onAndOff(t *Trouble, name string, on, off func()) {
+	span := func() Time { return Time(float64(t.Every) * (0.5 + x.rng(name).Float64())) }
+	if x.now-x.origin >= t.To {
+		return
+	}
+	on()
+	x.after(min(span(), t.To-(x.now-x.origin)), func() {
+		off()
+		x.after(span(), func() { x.onAndOff(t, name, on, off) })
+	})
+}
+
 // flap has a box go down and come up again and again.
 func (b *box) flap(t *Trouble) {
 	if b.x.now-b.x.origin >= t.To {
