Schedulers that may talk share rates: terms by a majority of keepers, over memberlist

The first part of the state that schedulers share. The design note weighs static parts, an elected grantor, escrow between two, counters as CRDTs and gossip, and takes terms by the votes of a majority without a log: safe in every split, no disk, what a dead one held comes back when it surely can't be spent. internal/share decides (no sockets, no clocks), internal/fleet carries, fleet_rate in a limits or class block asks; off without a fleet block, so nothing changes in run. Not there yet: faults between processes, counts, evidence, trials with hundreds, the wiring's own package.

--- a/cmd/weldscale/control.go
+++ b/cmd/weldscale/control.go
@@ -64,6 +64,7 @@
 	c := &control{s: s, read: read}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /stats", c.stats)
+	mux.HandleFunc("GET /fleet", c.fleet)
 	mux.HandleFunc("POST /reload", c.reload)
 	mux.HandleFunc("POST /drain", c.drain)
 	mux.HandleFunc("POST /level", c.level)
@@ -90,6 +91,9 @@
 	fmt.Fprintln(w, text)
 }
 
+// fleet never asks the loop: it may be what is looked for.
+func (c *control) fleet(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, c.s.fleet.text()) }
+
 func (c *control) reload(w http.ResponseWriter, _ *http.Request) {
 	conf, err := c.read()
 	c.s.loop.Do(func() { err = c.s.reload(conf, err) })
--- /dev/null
+++ b/cmd/weldscale/fleet.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"log/slog"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	operator "weldscale/internal/config"
+	"weldscale/internal/fleet"
+	"weldscale/internal/pool"
+	"weldscale/internal/share"
+)
+
+// This file ties a scheduler to its fleet: the link, and the budgets that its services' limits name. Without a fleet block
+// nothing of it is made. Terms of a fleet hold from the start on; a reload leaves them as they are.
+
+type fleetPart struct {
+	conf    *operator.Fleet
+	link    *fleet.Link
+	budgets *fleet.Budgets
+}
+
+// joinFleet makes a scheduler's part in its fleet; nil where the file names none.
+func joinFleet(c *config) (*fleetPart, error) {
+	f := c.file.Fleet
+	if f == nil {
+		return nil, nil
+	}
+	var key []byte
+	if f.KeyFile != "" {
+		var err error
+		if key, err = os.ReadFile(f.KeyFile); err != nil {
+			return nil, err
+		}
+		if n := len(key); n != 16 && n != 24 && n != 32 {
+			return nil, fmt.Errorf("%s: %d bytes; allowed is a key of 16, 24 or 32", f.KeyFile, n)
+		}
+	}
+	part := &fleetPart{conf: f}
+	life := rand.Uint64()
+	// The link takes messages from its first moment on, and the budgets send by it.
+	part.budgets = fleet.NewBudgets(c.Name, life, func(to string, data []byte) error { return part.link.Send(to, data) })
+	link, err := fleet.Start(fleet.Config{Fleet: f.Name, Name: c.Name, Life: life, Zone: f.Zone, Bind: f.Bind, Join: f.Join, Key: key,
+		Members: f.Members, Take: part.budgets.Take})
+	if err != nil {
+		return nil, err
+	}
+	part.link = link
+	slog.Info("in a fleet", "fleet", f.Name, "name", c.Name, "bind", f.Bind, "keeper", slices.Contains(f.Keepers, c.Name))
+	return part, nil
+}
+
+// leastChunks is how many pieces of a budget there are for each member, so that an even part can be had nearly whole.
+const leastChunks = 4
+
+// terms are those of a budget with that rate.
+func (p *fleetPart) terms(rate float64) share.Config {
+	f := p.conf
+	return share.Config{Budget: rate, Floor: f.Floor * rate / float64(f.Members), Members: f.Members, Keepers: f.Keepers,
+		Chunks: min(fleet.MaxChunks, leastChunks*f.Members), Term: time.Duration(f.Term) * time.Microsecond, Drift: f.Drift, Burst: f.Burst}
+}
+
+// rates gives a service's pool its part of the rates that its limits name. A budget begins with its first service and stays:
+// what it has given out must not be given again.
+func (p *fleetPart) rates(conf operator.Service, to *pool.Pool) error {
+	if p == nil {
+		return nil
+	}
+	names := map[int]string{}
+	add := func(class int, name string, rate float64) error {
+		if rate <= 0 || math.IsInf(rate, 0) {
+			return nil
+		}
+		names[class] = name
+		if _, known := p.budgets.Standing()[name]; known {
+			return nil
+		}
+		return p.budgets.Add(name, p.terms(rate))
+	}
+	err := add(-1, conf.Name, conf.Limits.FleetRate)
+	for i, c := range conf.Classes {
+		err = cmp.Or(err, add(i, conf.Name+"/"+c.Name, c.Limits.FleetRate))
+	}
+	to.Fleet = func(class int) bool {
+		name, ok := names[class]
+		return !ok || p.budgets.Spend(name, 1)
+	}
+	return err
+}
+
+// close leaves the fleet.
+func (p *fleetPart) close() {
+	if p != nil {
+		p.budgets.Stop()
+		p.link.Stop()
+	}
+}
+
+// text is what an operator is shown.
+func (p *fleetPart) text() string {
+	if p == nil {
+		return "this scheduler is in no fleet: its file has no fleet block\n"
+	}
+	var b strings.Builder
+	c := p.link.Counts()
+	fmt.Fprintf(&b, "fleet=%s sent=%d taken=%d bad=%d too_many=%d stranger=%d\n", p.conf.Name, c.Sent, c.Taken, c.Bad, c.TooMany, c.Stranger)
+	for _, m := range p.link.Members() {
+		fmt.Fprintf(&b, "member=%s zone=%q address=%s life=%x heard_ms=%d\n", m.Name, m.Zone, m.Address, m.Life, m.Heard.Milliseconds())
+	}
+	all := p.budgets.Standing()
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		s := all[name]
+		fmt.Fprintf(&b, "budget=%s part=%.3f floor=%.3f of=%.3f spent=%.0f denied=%d bad=%d keeper=%v\n", name, s.Part, s.Floor, s.Budget,
+			s.Spent, s.Denied, s.Bad, s.Keeper)
+	}
+	return b.String()
+}
+
+type fleetCmd struct{ remote }
+
+// Run implements the command.
+func (c fleetCmd) Run(ctx context.Context) error { return c.call(ctx, "GET", "/fleet") }
--- a/cmd/weldscale/main.go
+++ b/cmd/weldscale/main.go
@@ -35,6 +35,7 @@
 	Counters   countersCmd   `cmd:"" help:"Print the figures of a running scheduler, as JSON."`
 	Offline    offlineCmd    `cmd:"" help:"Have a running scheduler send nothing more to a worker."`
 	Online     onlineCmd     `cmd:"" help:"Put a worker back that was taken out."`
+	Fleet      fleetCmd      `cmd:"" help:"Print the members of a running scheduler's fleet, and its parts of the budgets."`
 	Level      levelCmd      `cmd:"" help:"Change the log level of a running scheduler."`
 
 	Reference  referenceCmd                 `cmd:"" hidden:"" help:"Print the reference page."`
--- a/cmd/weldscale/serve.go
+++ b/cmd/weldscale/serve.go
@@ -103,6 +103,7 @@
 	}()
 	s.loop.Post(s.trace)
 	s.loop.Run()
+	s.fleet.close()
 	slog.Info("stopped", "open", s.inHand(), "counts", s.server.Stats())
 	return nil
 }
@@ -139,6 +140,7 @@
 	leaving   []*service          // that it named before and that have requests in hand
 	open      *pool.Budget        // of requests in hand
 	clock     *pool.Clock         // of the loop's time
+	fleet     *fleetPart          // nil: the file names no fleet
 	metrics   *metrics.Set        // nil: none are kept
 	stopping  time.Time           // when the stop began
 	closed    bool                // the door is
@@ -187,10 +189,15 @@
 		server.Metrics = s.metrics.Text
 		e.Meter = s.metrics.Service("", c.classes, engine.StatusNames[:])
 	}
+	if s.fleet, err = joinFleet(c); err != nil {
+		return nil, err
+	}
 	if err := s.apply(c.file); err != nil {
+		s.fleet.close()
 		return nil, err
 	}
 	if err := s.listen(); err != nil {
+		s.fleet.close()
 		return nil, err
 	}
 	s.shareLimits()
--- a/cmd/weldscale/services.go
+++ b/cmd/weldscale/services.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"log/slog"
 	"slices"
 	"strings"
 	"time"
@@ -91,6 +92,9 @@
 	v.overlay.Restore(s.out()) // who is out is out of a new service too
 	v.share, v.lane = s.open.Share(v.conf.Reserve), s.clock.Lane(s.loop.Now(), v.conf.Weight)
 	p := pool.New(v.conf.Name, v.conf.Limits, v.conf.ClassLimits(), v.share, v.lane)
+	if err := s.fleet.rates(v.conf, p); err != nil { // its terms were checked with the file
+		slog.Error("no part of the fleet's rate", "service", v.conf.Name, "why", err)
+	}
 	s.account(v.jobs, v.e, p, v.lane)
 	if s.metrics != nil {
 		v.e.Meter = s.metrics.Service(v.conf.Name, v.conf.ClassNames(), engine.StatusNames[:])
@@ -244,8 +248,8 @@
 	if p != nil {
 		c, open = p.Counts, p.Open()
 	}
-	return fmt.Sprintf("service=%s open=%d begun=%d over_rate=%d over_open=%d over_bytes=%d over_shared=%d over_time=%d retries_denied=%d",
-		name, open, c.Begun, c.OverRate, c.OverOpen, c.OverBytes, c.OverShared, c.OverTime, c.RetriesDenied)
+	return fmt.Sprintf("service=%s open=%d begun=%d over_rate=%d over_fleet=%d over_open=%d over_bytes=%d over_shared=%d over_time=%d retries_denied=%d",
+		name, open, c.Begun, c.OverRate, c.OverFleet, c.OverOpen, c.OverBytes, c.OverShared, c.OverTime, c.RetriesDenied)
 }
 
 // anyReady reports whether a service that the operator's file names has had a worker to serve with.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -34,6 +34,7 @@
 	Services  []Service
 	Metrics   bool         // /-/metrics is there
 	Scheduler *Scheduler   // what the platform\'s configuration says where there is none
+	Fleet     *Fleet       // nil: this scheduler talks to no other
 	Control   string       // the path of the control socket; "": there is none
 	Platform  []route.Rule // of the service that the platform's configuration describes
 	Routes    *route.Table // of all; nil where there is no service block
@@ -123,6 +124,7 @@
 	Platform  *platformBlock  `hcl:"platform,block"`
 	Scheduler *schedulerBlock `hcl:"scheduler,block"`
 	Control   *controlBlock   `hcl:"control,block"`
+	Fleet     *fleetBlock     `hcl:"fleet,block"`
 	Metrics   *struct{}       `hcl:"metrics,block"`
 	Services  []*serviceBlock `hcl:"service,block"`
 }
@@ -183,6 +185,9 @@
 				r.fault(l.Control.Socket.Range(), "allowed is an absolute path of at most %d bytes", maxSocket)
 			}
 		}
+		if l.Fleet != nil && !faults.HasErrors() {
+			r.fleet(l.Fleet)
+		}
 		if len(l.Services) > 0 && !faults.HasErrors() { // else not all that they need is there
 			r.services(l.Services, l.Platform)
 		}
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -118,6 +118,9 @@
 		}
 		r.workers(at, b, &s)
 		r.limits(b.Limits, &s.Limits)
+		if s.Limits.FleetRate > 0 && r.file.Fleet == nil {
+			r.fault(at, "service %q: fleet_rate without a fleet block: there would be nobody to share it with", b.Name)
+		}
 		r.classes(at, b, &s)
 		for _, m := range s.Rules {
 			if m.Class != "" && !slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Name == m.Class }) {
@@ -246,7 +249,7 @@
 // limitFields are the settings of a limits block, and of a class but for the retries' floor.
 func limitFields(l *pool.Limits) []field {
 	return []field{{"rate", rate0, 0.001, 1e6, &l.Rate}, {"burst", count, 1, 1e6, &l.Burst}, {"open", count, 1, 1 << 20, &l.Open},
-		{"bytes", size, 64 << 10, 64 * gib, &l.Bytes}, {"retries", rate0, 0.001, 10, &l.Retries},
+		{"fleet_rate", rate0, 0.001, 1e9, &l.FleetRate}, {"bytes", size, 64 << 10, 64 * gib, &l.Bytes}, {"retries", rate0, 0.001, 10, &l.Retries},
 		{"retry_floor", rate0, 0.001, 1e6, &l.RetryFloor}}
 }
 
@@ -289,6 +292,9 @@
 		if kind == decide.Keyed && c.Terms.MemorySpan == 0 {
 			r.fault(here, "class %q of service %q: a keyed class needs key_memory, how long workers drop repeats", in.Name, b.Name)
 		}
+		if c.Limits.FleetRate > 0 && r.file.Fleet == nil {
+			r.fault(here, "class %q of service %q: fleet_rate without a fleet block: there would be nobody to share it with", in.Name, b.Name)
+		}
 		s.Classes = append(s.Classes, c)
 	}
 }
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,250 @@
+// Package fleet is the link between the schedulers of one fleet: who is a member, and small messages between members. It
+// owns those sockets (memberlist's, UDP and TCP on one address) and bounds what comes in. It must never decide anything,
+// nor have a member's word name a worker; what a message means is its taker's matter. Without a fleet block none of it
+// exists.
+package fleet
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"golang.org/x/time/rate"
+)
+
+// Config is a member's place in its fleet.
+type Config struct {
+	// Fleet names the fleet: members of another one are never let in.
+	Fleet string
+	// Name is the member's own, the same after a restart.
+	Name string
+	// Life tells one start of that name from another.
+	Life uint64
+	Zone string
+	// Bind is the address and port for both UDP and TCP, and the one that others reach it by.
+	Bind string
+	// Join are addresses of members; any living one will do.
+	Join []string
+	// Key encrypts what is said: 16, 24 or 32 bytes, or none.
+	Key []byte
+	// Members is how many there may be at most.
+	Members int
+	// Take is given each message of a member, on one of several goroutines. It must not keep data.
+	Take func(from string, data []byte)
+}
+
+// Bounds on what comes in.
+const (
+	maxName     = 64
+	maxMessage  = 1200 // fits a datagram with all that goes around it
+	messageRate = 60   // a second from one member
+	messageOnce = 120  // at once
+	rejoinEvery = 2 * time.Second
+	leaveFor    = time.Second
+	version     = 1
+)
+
+// Member is a member as this one sees it.
+type Member struct {
+	Name, Zone, Address string
+	Life                uint64
+	Heard               time.Duration // ago; 0 for oneself and one that has said nothing
+}
+
+// Counts is what went in and out.
+type Counts struct{ Sent, Taken, Bad, TooMany, Stranger int }
+
+// Link is one member's part in the fleet.
+type Link struct {
+	c    Config
+	list atomic.Pointer[memberlist.Memberlist] // nil until it is made: it takes messages before that
+	stop chan struct{}
+	done sync.WaitGroup
+
+	mu      sync.Mutex
+	counts  Counts
+	senders map[string]*sender
+}
+
+type sender struct {
+	limit *rate.Limiter
+	heard time.Time
+}
+
+type meta struct {
+	Zone string `json:"zone"`
+	Life uint64 `json:"life"`
+}
+
+// Start binds and joins. That no other member answers is no fault: it goes on trying.
+func Start(c Config) (*Link, error) {
+	host, portText, err := net.SplitHostPort(c.Bind)
+	port, err2 := strconv.Atoi(portText)
+	if err = errors.Join(err, err2); err != nil {
+		return nil, fmt.Errorf("fleet: bind %q: %w", c.Bind, err)
+	}
+	if c.Name == "" || len(c.Name) > maxName || c.Fleet == "" || c.Members < 1 {
+		return nil, fmt.Errorf("fleet: name, fleet or members missing or out of range")
+	}
+	l := &Link{c: c, stop: make(chan struct{}), senders: map[string]*sender{}}
+	m := memberlist.DefaultLANConfig()
+	m.Name, m.Label = c.Name, c.Fleet
+	m.BindAddr, m.BindPort, m.AdvertiseAddr, m.AdvertisePort = host, port, host, port
+	m.SecretKey = c.Key
+	m.Delegate, m.Events, m.Conflict = delegate{l}, nil, nil
+	m.Logger = log.New(io.Discard, "", 0) // what matters is counted, and told by Members
+	m.DeadNodeReclaimTime = time.Second   // a restart may come back on another address
+	list, err := memberlist.Create(m)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	l.list.Store(list)
+	l.done.Go(l.rejoin)
+	return l, nil
+}
+
+// rejoin keeps asking the addresses that stand for nobody alive: at the start, after a split, after a restart of all.
+func (l *Link) rejoin() {
+	for {
+		known := map[string]bool{l.c.Bind: true}
+		for _, m := range l.list.Load().Members() {
+			known[m.Address()] = true
+		}
+		for _, addr := range l.c.Join {
+			if !known[addr] {
+				l.list.Load().Join([]string{addr}) // it is tried again if nobody answers
+			}
+		}
+		select {
+		case <-l.stop:
+			return
+		case <-time.After(rejoinEvery):
+		}
+	}
+}
+
+// Stop leaves the fleet, so that others need not find out.
+func (l *Link) Stop() {
+	close(l.stop)
+	l.done.Wait()
+	l.list.Load().Leave(leaveFor)
+	l.list.Load().Shutdown()
+}
+
+// Send tells a member something, if it is one; whether it arrives is not known. Oneself is told at once.
+func (l *Link) Send(to string, data []byte) error {
+	if len(data) > maxMessage {
+		return fmt.Errorf("fleet: a message of %d bytes; allowed are %d", len(data), maxMessage)
+	}
+	if to == l.c.Name {
+		l.c.Take(to, data)
+		return nil
+	}
+	for _, m := range l.list.Load().Members() {
+		if m.Name == to {
+			l.mu.Lock()
+			l.counts.Sent++
+			l.mu.Unlock()
+			head := append([]byte{version, byte(len(l.c.Name))}, l.c.Name...)
+			return l.list.Load().SendBestEffort(m, append(head, data...))
+		}
+	}
+	return fmt.Errorf("fleet: no member %q", to)
+}
+
+// Members are all that are alive as far as this one knows, by name.
+func (l *Link) Members() (out []Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, m := range l.list.Load().Members() {
+		var v meta
+		json.Unmarshal(m.Meta, &v) // one that says nothing of itself has neither
+		member := Member{Name: m.Name, Zone: v.Zone, Address: m.Address(), Life: v.Life}
+		if s := l.senders[m.Name]; s != nil {
+			member.Heard = time.Since(s.heard)
+		}
+		out = append(out, member)
+	}
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Counts are the figures so far.
+func (l *Link) Counts() Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts
+}
+
+// sender names who sent a message, if it may be taken.
+func (l *Link) sender(b []byte) (from string, data []byte, ok bool) {
+	if len(b) < 2 || b[0] != version || len(b) < 2+int(b[1]) || b[1] == 0 || int(b[1]) > maxName || len(b) > 2+maxName+maxMessage {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.counts.Bad++
+		return "", nil, false
+	}
+	from, data = string(b[2:2+b[1]]), b[2+b[1]:]
+	list := l.list.Load()
+	member := list != nil && slices.ContainsFunc(list.Members(), func(m *memberlist.Node) bool { return m.Name == from })
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !member {
+		l.counts.Stranger++
+		return "", nil, false
+	}
+	s := l.senders[from]
+	if s == nil {
+		if len(l.senders) >= l.c.Members {
+			for name, old := range l.senders { // who has been silent for long may come back as new
+				if time.Since(old.heard) > time.Minute {
+					delete(l.senders, name)
+				}
+			}
+		}
+		if len(l.senders) >= l.c.Members {
+			l.counts.TooMany++
+			return "", nil, false
+		}
+		s = &sender{limit: rate.NewLimiter(messageRate, messageOnce)}
+		l.senders[from] = s
+	}
+	s.heard = time.Now()
+	if !s.limit.Allow() {
+		l.counts.TooMany++
+		return "", nil, false
+	}
+	l.counts.Taken++
+	return from, data, true
+}
+
+// delegate is what memberlist asks for.
+type delegate struct{ l *Link }
+
+func (d delegate) NodeMeta(limit int) []byte {
+	b, _ := json.Marshal(meta{d.l.c.Zone, d.l.c.Life})
+	if len(b) > limit {
+		return nil
+	}
+	return b
+}
+
+func (d delegate) NotifyMsg(b []byte) {
+	if from, data, ok := d.l.sender(b); ok {
+		d.l.c.Take(from, data)
+	}
+}
+
+func (delegate) GetBroadcasts(int, int) [][]byte { return nil }
+func (delegate) LocalState(bool) []byte          { return nil }
+func (delegate) MergeRemoteState([]byte, bool)   {}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -18,10 +18,12 @@
 
 // Limits are the terms of one service or of one class of it. A figure of 0 sets no limit.
 type Limits struct {
-	Rate  float64 // requests a second that may begin
-	Burst int     // how many may begin at once; 0: those of a tenth of a second, one at least
-	Open  int     // requests in hand
-	Bytes int     // of the requests in hand
+	Rate float64 // requests a second that may begin
+	// FleetRate is the same for all schedulers of a fleet together; Pool.Fleet says what of it is here.
+	FleetRate float64
+	Burst     int // how many may begin at once; 0: those of a tenth of a second, one at least
+	Open      int // requests in hand
+	Bytes     int // of the requests in hand
 	// Retries is how many second tries there may be for each first one, RetryFloor how many a second at least.
 	Retries    float64
 	RetryFloor float64
@@ -39,7 +41,7 @@
 
 // Counts is what a pool has let begin and what not, by reason.
 type Counts struct {
-	Begun, OverRate, OverOpen, OverBytes, OverShared, OverTime, RetriesDenied int
+	Begun, OverRate, OverFleet, OverOpen, OverBytes, OverShared, OverTime, RetriesDenied int
 }
 
 // gate holds one set of limits.
@@ -101,8 +103,15 @@
 	classes []gate
 	open    *Share
 	time    *Lane
+
+	// Fleet, where set, takes one request out of the fleet's rate of a class, or of the service for class -1. It must
+	// not wait.
+	Fleet func(class int) bool
 }
 
+// fleetAfter is when to come again after the fleet's rate was used up here: parts move within a second or so.
+const fleetAfter = second
+
 // New returns a pool with limits for the service and for each of its classes. The shares in what all services have
 // together may be nil.
 func New(name string, all Limits, classes []Limits, open *Share, loop *Lane) *Pool {
@@ -144,6 +153,12 @@
 			return Verdict{503, after, "its part of the time is used up"}
 		}
 	}
+	for n, g := range gates {
+		if g.limits.FleetRate > 0 && p.Fleet != nil && !p.Fleet([]int{-1, class}[n]) {
+			p.Counts.OverFleet++
+			return Verdict{429, fleetAfter, "too many a second in the fleet"}
+		}
+	}
 	if p.open != nil && !p.open.Take(1) {
 		p.Counts.OverShared++
 		return Verdict{503, second, "others need the room"}
