A trial of a shared rate with a hundred processes; demand is a mean, spare parts go where they are wanted

At fault: Round (max of the last round and a fading peak; a quarter to spare whatever others lack). Schedulers of the trial have loopback addresses of their own: of hundreds of ports that are free now some are not later.

--- a/cmd/weldscale/fleet.go
+++ b/cmd/weldscale/fleet.go
@@ -59,7 +59,7 @@
 }
 
 // leastChunks is how many pieces of a budget there are for each member, so that an even part can be had nearly whole.
-const leastChunks = 4
+const leastChunks = 8
 
 // terms are those of a budget with that rate.
 func (p *fleetPart) terms(rate float64) share.Config {
--- a/cmd/weldtrial/main.go
+++ b/cmd/weldtrial/main.go
@@ -34,6 +34,7 @@
 	SlowPeers slowPeers `cmd:"" name:"slow-peers" help:"Normal traffic alone, beside slow senders and readers, and with few descriptors."`
 	Twin      twin      `cmd:"" name:"twin" help:"Scripts of the emulator, played by the model and by real schedulers."`
 	Upgrades  upgrades  `cmd:"" name:"upgrades" help:"A scheduler that is replaced again and again under a steady load."`
+	Shared    shared    `cmd:"" name:"shared" help:"Many schedulers that share one rate, a fifth of them stopped for a while."`
 	Services  services  `cmd:"" name:"services" help:"Three services in one process, one of them drowned or without workers."`
 }
 
--- a/internal/fleet/budget.go
+++ b/internal/fleet/budget.go
@@ -47,6 +47,7 @@
 	Want  []byte `json:"w,omitempty"`
 	Free  []byte `json:"f,omitempty"`
 	Short int    `json:"s,omitempty"`
+	More  int    `json:"m,omitempty"`
 }
 
 type answerLetter struct {
@@ -55,6 +56,7 @@
 	Yes   []byte `json:"y,omitempty"`
 	Open  []byte `json:"o,omitempty"`
 	Short int    `json:"s,omitempty"`
+	More  int    `json:"m,omitempty"`
 	Ask   int    `json:"n,omitempty"`
 }
 
@@ -101,7 +103,7 @@
 		b.mu.Lock()
 		a := v.holder.Round(b.now())
 		b.mu.Unlock()
-		text, _ := json.Marshal(letter{Budget: name, Ask: &askLetter{a.Life, a.Round, bits(a.Want), bits(a.Free), a.Short}})
+		text, _ := json.Marshal(letter{Budget: name, Ask: &askLetter{a.Life, a.Round, bits(a.Want), bits(a.Free), a.Short, a.More}})
 		for _, k := range v.c.Keepers {
 			b.send(k, text) // one that can't be reached does not answer
 		}
@@ -126,14 +128,14 @@
 	}
 	if in.Ask == nil {
 		a := in.Answer
-		v.holder.Take(b.now(), share.Answer{Keeper: from, Life: a.Life, Round: a.Round, Yes: list(a.Yes), Open: list(a.Open), Short: a.Short, Ask: a.Ask})
+		v.holder.Take(b.now(), share.Answer{Keeper: from, Life: a.Life, Round: a.Round, Yes: list(a.Yes), Open: list(a.Open), Short: a.Short, More: a.More, Ask: a.Ask})
 		b.mu.Unlock()
 		return
 	}
 	q := in.Ask
-	a := v.keeper.Ask(b.now(), share.Ask{From: from, Life: q.Life, Round: q.Round, Want: list(q.Want), Free: list(q.Free), Short: q.Short})
+	a := v.keeper.Ask(b.now(), share.Ask{From: from, Life: q.Life, Round: q.Round, Want: list(q.Want), Free: list(q.Free), Short: q.Short, More: q.More})
 	b.mu.Unlock()
-	text, _ := json.Marshal(letter{Budget: in.Budget, Answer: &answerLetter{a.Life, a.Round, bits(a.Yes), bits(a.Open), a.Short, a.Ask}})
+	text, _ := json.Marshal(letter{Budget: in.Budget, Answer: &answerLetter{a.Life, a.Round, bits(a.Yes), bits(a.Open), a.Short, a.More, a.Ask}})
 	b.send(from, text)
 }
 
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -81,16 +81,18 @@
 	Life, Round uint64
 	Want, Free  []int
 	Short       int // chunks it lacks of an even part
+	More        int // chunks it would take in all
 }
 
 // Answer is what a keeper says: the chunks of that round it votes for, those that are free as far as it knows, how many
-// others lack of an even part, and how many members ask.
+// others lack of an even part and would take in all, and how many members ask.
 type Answer struct {
 	Keeper      string
 	Life, Round uint64
 	Yes         []int
 	Open        []int // at most openMost
-	Short, Ask  int
+	Short, More int
+	Ask         int
 }
 
 // openMost bounds an answer.
@@ -113,8 +115,8 @@
 }
 
 type asker struct {
-	short int
-	at    time.Duration
+	short, more int
+	at          time.Duration
 }
 
 // NewKeeper begins at a moment of its own steady clock; moments never go backwards.
@@ -143,12 +145,13 @@
 		}
 	}
 	if _, known := k.askers[a.From]; known || len(k.askers) < k.c.Members {
-		k.askers[a.From] = asker{max(0, min(a.Short, k.c.Chunks)), now}
+		k.askers[a.From] = asker{max(0, min(a.Short, k.c.Chunks)), max(0, min(a.More, k.c.Chunks)), now}
 	}
 	out.Ask = len(k.askers)
 	for name, b := range k.askers {
 		if name != a.From {
 			out.Short += b.short
+			out.More += b.more
 		}
 	}
 	if now < k.mute {
@@ -202,7 +205,8 @@
 	since  time.Duration
 	open   []int // chunks that keepers said are free
 	demand float64
-	short  int
+	short  int // what others lack of an even part, as keepers said
+	more   int // what they would take in all
 	askers int
 	seed   uint64
 }
@@ -296,8 +300,9 @@
 
 const (
 	spare = 1.25 // of its demand that a holder keeps, so that it need not ask for each job
-	fade  = 0.7  // a round: demand that is gone frees its chunks in a few rounds, not in one
-	yield = 4    // part of what is beyond an even part that goes at once: all of it would swing
+	// newest is the weight of a round in the mean demand: a round sees few jobs, and its peaks would hoard chunks.
+	newest = 0.25
+	yield  = 4 // part of what is beyond an even part that goes at once: all of it would swing
 )
 
 // Round begins a round: the ask for every keeper. Once in a third of a term is often enough to keep what is held.
@@ -310,11 +315,15 @@
 		if h.c.Burst == 0 {
 			came = h.inUse + h.want // those in use, and as many again as came meanwhile
 		}
-		h.demand = max(came, h.demand*fade)
+		h.demand += newest * (came - h.demand)
 		h.want, h.since = 0, now
 	}
 	size := max(h.c.chunk(), 1e-12)
-	wanted := max(0, min(h.c.Chunks, int(math.Ceil((h.demand*spare-h.c.Floor)/size))))
+	ahead := spare
+	if h.more > 0 && len(h.open) == 0 { // what is kept to spare is wanted elsewhere
+		ahead = 1
+	}
+	wanted := max(0, min(h.c.Chunks, int(math.Ceil((h.demand*ahead-h.c.Floor)/size))))
 	even := max(1, h.c.Chunks/max(1, h.askers))
 	goal, held := wanted, h.held(now)
 	if h.short > 0 { // others lack an even part: nobody takes more than that, and where nothing is free some comes back
@@ -343,7 +352,7 @@
 			a.Free = append(a.Free, i)
 		}
 	}
-	a.Short = max(0, min(wanted, even)-len(r.want))
+	a.Short, a.More = max(0, min(wanted, even)-len(r.want)), max(0, wanted-len(r.want))
 	for n := goal - len(r.want); n > 0 && len(h.open) > 0; n-- {
 		h.seed = h.seed*6364136223846793005 + 1442695040888963407
 		at := int(h.seed>>33) % len(h.open)
@@ -355,7 +364,7 @@
 	r.yes = make([]int, len(r.want))
 	a.Want = slices.Clone(r.want)
 	h.rounds[h.round%keptRounds] = r
-	h.open, h.short, h.askers = h.open[:0], 0, 0
+	h.open, h.short, h.more, h.askers = h.open[:0], 0, 0, 0
 	return a
 }
 
@@ -366,6 +375,7 @@
 		return
 	}
 	r.voters[a.Keeper] = true
+	h.more = max(h.more, a.More)
 	h.short, h.askers = max(h.short, max(0, a.Short)), max(h.askers, min(a.Ask, h.c.Members))
 	for _, i := range a.Open {
 		if i >= 0 && i < h.c.Chunks && len(h.open) < openMost && !slices.Contains(h.open, i) {
