--- a/cmd/weldscale/fleet.go
+++ b/cmd/weldscale/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -72,6 +73,10 @@
 // what it has given out must not be given again.
 func (p *fleetPart) rates(conf operator.Service, to *pool.Pool) error {
 	if p == nil {
+		shares := func(c operator.Class) bool { return c.Limits.FleetRate > 0 }
+		if conf.Limits.FleetRate > 0 || slices.ContainsFunc(conf.Classes, shares) {
+			return errors.New("the fleet block came with a reload: it needs a restart, and until then the rate is not kept")
+		}
 		return nil
 	}
 	names := map[int]string{}
