--- /dev/null
+++ b/coordination/transport/transport.go
@@ -0,0 +1,102 @@
+// Package transport carries typed messages between processes: msgpack bodies in HTTP POST requests. A call has a
+// deadline of its own, and a call that reaches it closes its connection, so that a peer behind a cut is noticed at once.
+package transport
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// ContentType is the media type of message bodies.
+const ContentType = "application/msgpack"
+
+const (
+	maxMessageBytes     = 16 << 20
+	dialTimeout         = 400 * time.Millisecond
+	idleTimeout         = 30 * time.Second
+	idleConnsPerAddress = 4
+)
+
+// ErrStatus is the root of errors for calls that were answered with another status than 200.
+var ErrStatus = eris.New("unexpected status")
+
+// Client sends calls. It is safe for use by several goroutines.
+type Client struct {
+	http *http.Transport
+}
+
+// NewClient returns a client with its own connections.
+func NewClient() *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	return &Client{http: &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: idleConnsPerAddress,
+		IdleConnTimeout:     idleTimeout,
+	}}
+}
+
+// Call posts request to path at address (IP:PORT) and decodes the answer into reply. It returns at the latest when ctx is done.
+func (c *Client) Call(ctx context.Context, address, path string, request, reply any) error {
+	body, err := msgpack.Marshal(request)
+	if err != nil {
+		return eris.Wrap(err, "encode request")
+	}
+	message, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "make request")
+	}
+	message.Header.Set("Content-Type", ContentType)
+	response, err := c.http.RoundTrip(message)
+	if err != nil {
+		return eris.Wrapf(err, "call %s%s", address, path)
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	if err != nil {
+		return eris.Wrapf(err, "read answer of %s%s", address, path)
+	}
+	if response.StatusCode != http.StatusOK {
+		return eris.Wrapf(ErrStatus, "%s%s: %d", address, path, response.StatusCode)
+	}
+	return eris.Wrapf(msgpack.Unmarshal(answer, reply), "decode answer of %s%s", address, path)
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Handle returns an HTTP handler that decodes a request, calls serve and encodes its reply. An error of serve is answered
+// with 503.
+func Handle[Request, Reply any](serve func(ctx context.Context, request Request) (Reply, error)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(io.LimitReader(r.Body, maxMessageBytes))
+		if err != nil {
+			http.Error(w, "body", http.StatusBadRequest)
+			return
+		}
+		var request Request
+		if err := msgpack.Unmarshal(body, &request); err != nil {
+			http.Error(w, "decode", http.StatusBadRequest)
+			return
+		}
+		reply, err := serve(r.Context(), request)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		answer, err := msgpack.Marshal(reply)
+		if err != nil {
+			http.Error(w, "encode", http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Type", ContentType)
+		_, _ = w.Write(answer)
+	})
+}
--- /dev/null
+++ b/internal/fleetwire/fleetwire.go
@@ -0,0 +1,154 @@
+// Package fleetwire holds the messages that the programs of the fleet send each other, encoded as msgpack by
+// coordination/transport. It holds no behaviour beyond comparing versions.
+package fleetwire
+
+// Paths of the internal calls. All are POST with a msgpack body.
+const (
+	// PathWatch is the long poll by version, served by controllers to agents and by an agent to its router.
+	PathWatch = "/internal/watch"
+	// PathInstances passes a list of instances from the controller that reads it to the others.
+	PathInstances = "/internal/instances"
+	// PathStatus tells what a process knows of the fleet.
+	PathStatus = "/internal/status"
+)
+
+// Route sends requests of one host and path prefix to a service.
+type Route struct {
+	Name            string
+	Hostname        string
+	PathPrefix      string // begins and ends with a slash
+	RouteType       string // "safe", "unsafe" or "streaming"
+	TimeoutMs       int64
+	TargetLatencyMs int64
+	Priority        int // 0 is the most urgent
+	Split           []WeightedService
+	MaxAttempts     int
+	Sticky          bool
+	Resumable       bool
+	GapAimMs        int64
+}
+
+// WeightedService is one target of a route.
+type WeightedService struct {
+	Service string
+	Weight  int64
+}
+
+// Service is a group of workers that do the same work.
+type Service struct {
+	Name           string
+	HealthCheck    string
+	MaxConnections int
+	Engine         *Engine // nil for a service that generates no tokens
+}
+
+// Engine describes the model engine of a service's workers.
+type Engine struct {
+	Slots        int
+	KvTokens     int64
+	KvTokenBytes int64
+	LinkMbps     float64
+	Stride       int // tokens in one event
+	HandleTTLS   float64
+	SwitchS      float64
+	Models       []string
+}
+
+// Limits bound what a client may send and how long it may take.
+type Limits struct {
+	MaxHeaderBytes  int
+	MaxBodyBytes    int64
+	HeaderTimeoutMs int64
+	IdleTimeoutMs   int64
+}
+
+// Config is a configuration of the operator, checked and in the form that routers use.
+type Config struct {
+	Version  int64
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+}
+
+// Instance is one worker as the platform lists it.
+type Instance struct {
+	ID              string
+	Service         string
+	Address         string // IP:PORT
+	Zone            string
+	Version         string
+	Slots           int
+	State           string // "ready" or "draining"
+	ColdRemainingMs int64
+	Stage           string // "prefill", "decode" or empty
+	Models          []Model
+}
+
+// Model is a model that a worker has loaded.
+type Model struct {
+	Name    string
+	Version int64
+}
+
+// States of an instance.
+const (
+	InstanceReady    = "ready"
+	InstanceDraining = "draining"
+)
+
+// Stages of a worker of an engine.
+const (
+	StagePrefill = "prefill"
+	StageDecode  = "decode"
+)
+
+// ListVersion orders lists of instances: by the fencing token of their reader, then by its sequence.
+type ListVersion struct {
+	Token    uint64
+	Sequence uint64
+}
+
+// Less reports whether v is older than other.
+func (v ListVersion) Less(other ListVersion) bool {
+	if v.Token != other.Token {
+		return v.Token < other.Token
+	}
+	return v.Sequence < other.Sequence
+}
+
+// Version names the state that a watcher holds. The zero value is a watcher that holds nothing.
+type Version struct {
+	ConfigRevision uint64 // revision of the register
+	Instances      ListVersion
+}
+
+// WatchRequest asks for what is newer than Have. The answer comes at once if there is something newer, otherwise within WaitMs.
+type WatchRequest struct {
+	Have   Version
+	WaitMs int64
+	Member Member // the asking process
+}
+
+// WatchReply carries only the parts that are newer than what the watcher holds; the others are nil.
+type WatchReply struct {
+	Now         Version
+	Config      *Config
+	Instances   []Instance
+	HasList     bool     // Instances is a whole new list, which may be empty
+	Controllers []string // internal addresses of the known controllers, IP:PORT
+	Routers     int      // routers that the controllers know to be alive, at least 1
+	// QuorumAgeMs tells how long ago the controller behind this answer last heard a majority of the replicas. A watcher
+	// leaves a controller whose age grows beyond its bound.
+	QuorumAgeMs int64
+	// ListAgeMs tells how long ago the platform confirmed the list.
+	ListAgeMs int64
+}
+
+// Member is a process as others see it.
+type Member struct {
+	Name    string
+	Address string // internal address, IP:PORT
+	Role    string
+	Zone    string
+	Region  string
+}
