--- a/decide/api.go
+++ b/decide/api.go
@@ -141,6 +141,9 @@
 	Hint     Time    // expected work, or 0
 	Slots    float64 // 0 counts as 1
 	Memory   float64
+	Zone     int      // draws begin in the zone of that number less one; 0: in that of the node
+	Holder   WorkerID // joins the first draw, since it holds what others would do anew; 0: none
+	Saved    float64  // the slots that the holder saves
 }
 
 // Fields says which figures a Report carries.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -137,7 +137,10 @@
 	j.drawing = true
 	j.pair, j.answered = [2]*worker{}, [2]bool{}
 	if d.affords(j) {
-		j.pair[0] = d.pick(j, nil)
+		j.pair[0] = d.holder(j)
+		if j.pair[0] == nil {
+			j.pair[0] = d.pick(j, nil)
+		}
 	}
 	if j.pair[0] != nil {
 		j.pair[1] = d.pick(j, j.pair[0])
@@ -164,8 +167,8 @@
 // least, and for a part of the slack that grows with the price of crossing.
 func (d *Dispatcher) pick(j *job, other *worker) *worker {
 	pool := d.ready
-	if (j.misses == 0 || d.now < j.nearUntil) && len(d.near) > 1 {
-		pool = d.near
+	if near := d.near[j.zone]; (j.misses == 0 || d.now < j.nearUntil) && len(near) > 1 {
+		pool = near
 	}
 	for i := 0; i < drawTries && len(pool) > 0; i++ {
 		if w := pool[d.rng.IntN(len(pool))]; w != other && d.usable(j, w) && !d.tight(j, w) && d.admit(j, w) {
@@ -184,6 +187,16 @@
 	return d.scratch[d.rng.IntN(len(d.scratch))]
 }
 
+// holder is the worker that is believed to hold what j would need anew elsewhere. It joins the first draw in
+// the place of one random worker; a second draw means that it was full, and goes by chance alone.
+func (d *Dispatcher) holder(j *job) *worker {
+	w := d.workers[j.Holder]
+	if j.Holder == 0 || j.misses > 0 || w == nil || !d.usable(j, w) || d.tight(j, w) || !d.admit(j, w) {
+		return nil
+	}
+	return w
+}
+
 // usable tells whether j may go to w at all. One that was ejected is tried with jobs that may be repeated, if
 // there are such, until it serves some: an unsafe job would be lost on it. One that only fails now and then
 // is better than none to a job that found no room elsewhere and has attempts to spare.
@@ -265,6 +278,9 @@
 		}
 		slow := d.slowness(w, j.echo[i])
 		r, queue, fits := d.room(j, w, j.load[i])
+		if w.ID == j.Holder {
+			r.FreeSlots += j.Saved // what it need not do again counts as room
+		}
 		if !fits {
 			w.tightUntil, w.tightFor = d.now+d.brief(tightSpan), j.Slots
 		}
@@ -326,19 +342,6 @@
 	return j.aimAt + Time(spare)
 }
 
-// learnEcho keeps the median time of a probe for each zone: a step up or down with each answer.
-func (d *Dispatcher) learnEcho(w *worker, echo Time) {
-	usual := &d.usual[w.Zone]
-	switch {
-	case *usual == 0:
-		*usual = float64(echo)
-	case float64(echo) > *usual:
-		*usual *= 1 + learnRate/2
-	default:
-		*usual /= 1 + learnRate/2
-	}
-}
-
 // room takes our own pushes that the report can't show yet off what it shows. It tells how long j would queue
 // and whether it fits. A worker's own queue is blind, so a job without room waits here. Where it is told and
 // no job is wider than a slot, a short one keeps slots from idling till the next look.
@@ -646,28 +649,3 @@
 	w.shown, w.shownAt, w.shownOut = r, d.now, w.out
 	d.learnSize(w, r)
 }
-
-// onTime ends the wait for a start note, and what was held against the worker for it.
-func (a *attempt) onTime() {
-	if a.late {
-		a.late = false
-		a.w.late--
-	}
-}
-
-// measure updates bear, for our own zone and the others: draws stay near, so a near worker gets far more than
-// others. A cold one counts for as much as it is warm, so bear is never more than what it can take.
-func (d *Dispatcher) measure(span float64) {
-	var warm [2]float64
-	for _, w := range d.ready {
-		warm[d.far(w)] += d.warmth(w)
-	}
-	d.measured++
-	for i, n := range warm {
-		if n > 0 {
-			d.bear[i] += max(0.2, 1/d.measured) * (d.pushed[i]/span*1e6/n - d.bear[i]) // the first seconds count alike
-		}
-	}
-	d.pushed, d.bearAt = [2]float64{}, d.now
-	d.price = max(min(d.price*priceFade, d.dearest()*priceUp), d.cheapest/2) // or all are kept out
-}
--- /dev/null
+++ b/decide/holder_test.go
@@ -0,0 +1,91 @@
+package decide
+
+import "testing"
+
+// place lets a dispatcher with six equal workers place one job; each worker answers its probe by show. It returns the
+// workers that were probed and the one that got the push.
+func place(t *testing.T, seed uint64, j Job, show func(WorkerID) Report) (probed []WorkerID, pushed WorkerID) {
+	t.Helper()
+	var r recorder
+	s := testSettings()
+	s.Zones = 2
+	d, err := New(s, seed, &r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []Worker
+	for id := WorkerID(1); id <= 6; id++ {
+		list = append(list, Worker{ID: id, Zone: int(id % 2), State: Ready})
+	}
+	d.Announce(second, ListFull, list)
+	d.Arrive(second, j)
+	for _, a := range r.take("probe") {
+		probed = append(probed, a.worker)
+	}
+	for _, id := range probed {
+		d.ProbeResult(second+ms, id, Served, ms, show(id))
+	}
+	for _, a := range r.take("push") {
+		pushed = a.worker
+	}
+	return probed, pushed
+}
+
+func TestHolderJoinsTheDrawAndLosesToALighterWorker(t *testing.T) {
+	job := Job{ID: 1, GiveUpAt: 5 * second, Holder: 5, Saved: 4}
+	for seed := range uint64(50) {
+		probed, pushed := place(t, seed, job, func(id WorkerID) Report {
+			if id == 5 {
+				return Report{Has: HasFreeSlots, FreeSlots: 7}
+			}
+			return Report{Has: HasFreeSlots, FreeSlots: 10}
+		})
+		if len(probed) != 2 || probed[0] != 5 || probed[1] == 5 {
+			t.Fatalf("seed %d: probed %v, want the holder and one other", seed, probed)
+		}
+		if pushed != 5 {
+			t.Fatalf("seed %d: pushed to %d, though the holder saves more than it lacks", seed, pushed)
+		}
+		_, pushed = place(t, seed, job, func(id WorkerID) Report {
+			if id == 5 {
+				return Report{Has: HasFreeSlots, FreeSlots: 5}
+			}
+			return Report{Has: HasFreeSlots, FreeSlots: 10}
+		})
+		if pushed == 5 {
+			t.Fatalf("seed %d: the holder got the job, though another is lighter by more than it saves", seed)
+		}
+	}
+}
+
+func TestDrawsBeginInTheZoneOfTheJob(t *testing.T) {
+	for seed := range uint64(50) {
+		for zone := range 2 {
+			probed, _ := place(t, seed, Job{ID: 1, GiveUpAt: 5 * second, Zone: zone + 1}, func(WorkerID) Report {
+				return Report{Has: HasFreeSlots, FreeSlots: 10}
+			})
+			for _, id := range probed {
+				if int(id%2) != zone {
+					t.Fatalf("seed %d: worker %d is not of zone %d", seed, id, zone)
+				}
+			}
+		}
+	}
+}
+
+func TestAddClassLeavesKnownWorkersUsable(t *testing.T) {
+	var r recorder
+	d, err := New(testSettings(), 1, &r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Announce(second, ListFull, []Worker{{ID: 1, State: Ready}, {ID: 2, State: Ready}})
+	class := d.AddClass(Class{Effect: Unsafe, Aim: second, Deadline: 5 * second, Worth: 1, Kind: -1})
+	d.Arrive(second, Job{ID: 1, Class: class, GiveUpAt: 6 * second})
+	for _, a := range r.take("probe") {
+		d.ProbeResult(second+ms, a.worker, Served, ms, Report{Has: HasFreeSlots, FreeSlots: 4})
+	}
+	if pushes := r.take("push"); len(pushes) != 1 {
+		t.Fatalf("%d pushes of a job of the added class", len(pushes))
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -75,7 +75,8 @@
 	Job
 	class     *Class
 	work      Time // expected running time
-	nearUntil Time // draws stay in our own zone until then
+	zone      int  // where draws begin
+	nearUntil Time // draws stay in that zone until then
 	aimAt     Time // an answer after this, and Stretch x its work, comes late
 	latest    Time // a push after this comes to nothing
 	over      bool // beyond its tenant's share
@@ -101,7 +102,7 @@
 	workers         map[WorkerID]*worker // looked up only; draws go by the slices
 	listed          []*worker            // all that the list names, in order of arrival
 	ready           []*worker
-	near            []*worker // the ready ones of our own zone
+	near            [][]*worker // the ready ones, by zone
 	scratch         []*worker
 	jobs            map[uint32]*job
 	spare           []*job
@@ -141,6 +142,7 @@
 	d.price, d.run = 1e-9, float64(usualRun)
 	d.sizes = map[int]float64{}
 	d.usual = make([]float64, max(1, s.Zones))
+	d.near = make([][]*worker, len(d.usual))
 	for i, c := range s.Classes {
 		d.runs[i] = float64(c.Aim) // a guess until the first run is seen
 		d.canTry = d.canTry || c.Effect != Unsafe
@@ -148,6 +150,17 @@
 	return d, nil
 }
 
+// AddClass makes one more class of jobs known and returns its number.
+func (d *Dispatcher) AddClass(c Class) int {
+	d.s.Classes = append(d.s.Classes, c)
+	d.runs = append(d.runs, float64(c.Aim))
+	d.canTry = d.canTry || c.Effect != Unsafe
+	for _, w := range d.workers {
+		w.shuns = append(w.shuns, shunned{})
+	}
+	return len(d.s.Classes) - 1
+}
+
 // Check names the setting that is out of range, if one is.
 func (s *Settings) Check() error {
 	type check struct {
@@ -198,7 +211,10 @@
 		w.Worker = e
 	}
 	keep := d.listed[:0]
-	d.ready, d.near = d.ready[:0], d.near[:0]
+	d.ready = d.ready[:0]
+	for i := range d.near {
+		d.near[i] = d.near[i][:0]
+	}
 	for _, w := range d.listed {
 		if w.State == Gone {
 			w.listed = false
@@ -208,9 +224,7 @@
 		keep = append(keep, w)
 		if w.State == Ready {
 			d.ready = append(d.ready, w)
-			if w.Zone == d.s.Zone {
-				d.near = append(d.near, w)
-			}
+			d.near[w.Zone] = append(d.near[w.Zone], w)
 		}
 	}
 	clear(d.listed[len(keep):])
@@ -289,7 +303,10 @@
 	} else {
 		j = new(job)
 	}
-	*j = job{Job: in, class: &d.s.Classes[in.Class], attempts: j.attempts[:0]}
+	*j = job{Job: in, class: &d.s.Classes[in.Class], attempts: j.attempts[:0], zone: d.s.Zone}
+	if in.Zone > 0 && in.Zone <= len(d.near) {
+		j.zone = in.Zone - 1
+	}
 	if !(in.Slots > 0 && in.Slots < 1e6) {
 		j.Slots = 1
 	}
@@ -362,3 +379,41 @@
 	}
 	return most
 }
+
+// learnEcho keeps the median time of a probe for each zone: a step up or down with each answer.
+func (d *Dispatcher) learnEcho(w *worker, echo Time) {
+	usual := &d.usual[w.Zone]
+	switch {
+	case *usual == 0:
+		*usual = float64(echo)
+	case float64(echo) > *usual:
+		*usual *= 1 + learnRate/2
+	default:
+		*usual /= 1 + learnRate/2
+	}
+}
+
+// onTime ends the wait for a start note, and what was held against the worker for it.
+func (a *attempt) onTime() {
+	if a.late {
+		a.late = false
+		a.w.late--
+	}
+}
+
+// measure updates bear, for our own zone and the others: draws stay near, so a near worker gets far more than
+// others. A cold one counts for as much as it is warm, so bear is never more than what it can take.
+func (d *Dispatcher) measure(span float64) {
+	var warm [2]float64
+	for _, w := range d.ready {
+		warm[d.far(w)] += d.warmth(w)
+	}
+	d.measured++
+	for i, n := range warm {
+		if n > 0 {
+			d.bear[i] += max(0.2, 1/d.measured) * (d.pushed[i]/span*1e6/n - d.bear[i]) // the first seconds count alike
+		}
+	}
+	d.pushed, d.bearAt = [2]float64{}, d.now
+	d.price = max(min(d.price*priceFade, d.dearest()*priceUp), d.cheapest/2) // or all are kept out
+}
