--- /dev/null
+++ b/coordination/watch/hub.go
@@ -0,0 +1,247 @@
+package watch
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"weldscale/coordination/transport"
+	"weldscale/internal/fleetwire"
+)
+
+const (
+	// DefaultMaxWait is the longest time that a hub holds a poll: a watcher tells silence from quiet by it.
+	DefaultMaxWait = 400 * time.Millisecond
+	// DefaultMaxQuorumAge is the age from which a hub counts as out of touch with the majority. It covers a few missed
+	// heartbeats of the replicas and leaves watchers time to find another hub within the bound of propagation.
+	DefaultMaxQuorumAge = time.Second
+)
+
+// HubOptions sets up a hub.
+type HubOptions struct {
+	// QuorumAge tells how long ago a majority of the replicas was heard; nil: always in touch.
+	QuorumAge func() time.Duration
+	// MaxQuorumAge is the age beyond which all polls are ended at once; 0: DefaultMaxQuorumAge.
+	MaxQuorumAge time.Duration
+	// MaxWait caps the time that a poll is held; 0: DefaultMaxWait.
+	MaxWait time.Duration
+	// Seen is told of each poll; nil: nobody is. It must not block.
+	Seen func(request *fleetwire.WatchRequest)
+}
+
+// Hub holds the current state and answers long polls. It is safe for use by several goroutines.
+type Hub struct {
+	options HubOptions
+	closed  chan struct{}
+	closing sync.Once
+
+	mutex sync.Mutex // orders writers
+	state atomic.Pointer[state]
+}
+
+// state is what a hub holds at one moment; it is replaced whole.
+type state struct {
+	snapshot     Snapshot // its ages and At are set on reading
+	packedConfig fleetwire.Packed
+	packedList   fleetwire.Packed
+	confirmed    time.Time     // when the platform confirmed the list; zero: never
+	changed      chan struct{} // closed once a newer version is there
+}
+
+// NewHub returns a hub that holds nothing.
+func NewHub(options HubOptions) *Hub {
+	if options.QuorumAge == nil {
+		options.QuorumAge = func() time.Duration { return 0 }
+	}
+	if options.MaxQuorumAge == 0 {
+		options.MaxQuorumAge = DefaultMaxQuorumAge
+	}
+	if options.MaxWait == 0 {
+		options.MaxWait = DefaultMaxWait
+	}
+	hub := &Hub{options: options, closed: make(chan struct{})}
+	hub.state.Store(&state{snapshot: Snapshot{Routers: 1}, changed: make(chan struct{})})
+	return hub
+}
+
+// Register mounts the long poll.
+func (h *Hub) Register(mux *http.ServeMux) {
+	mux.Handle("POST "+fleetwire.PathWatch, transport.Handle(h.Serve))
+}
+
+// Close ends all polls, now and later, as those of a hub that is out of touch: watchers leave at once.
+func (h *Hub) Close() { h.closing.Do(func() { close(h.closed) }) }
+
+// Current returns the state. A hub that is fed by a Follower without OnChange has no decoded configuration and list.
+func (h *Hub) Current() *Snapshot {
+	current := h.state.Load()
+	snapshot := current.snapshot
+	snapshot.At = time.Now()
+	snapshot.QuorumAge = h.quorumAge()
+	snapshot.ListAge = ageAt(snapshot.At, current.confirmed)
+	return &snapshot
+}
+
+// PublishConfig makes a chosen configuration known. One that isn't newer than the current one is ignored.
+func (h *Hub) PublishConfig(revision uint64, config *fleetwire.Config) error {
+	if revision <= h.state.Load().snapshot.Version.ConfigRevision {
+		return nil
+	}
+	packed, err := pack(config)
+	if err != nil {
+		return err
+	}
+	h.update(func(next *state) { next.setConfig(revision, config, packed) })
+	return nil
+}
+
+// PublishInstances makes a list known that the platform gave just now. One that isn't newer than the current one is ignored.
+func (h *Hub) PublishInstances(version fleetwire.ListVersion, instances []fleetwire.Instance) error {
+	if !h.state.Load().snapshot.Version.Instances.Less(version) {
+		return nil
+	}
+	packed, err := pack(instances)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	h.update(func(next *state) { next.setList(version, instances, packed, now) })
+	return nil
+}
+
+// ConfirmInstances notes that the platform gave the current list again at the given moment. It wakes nobody.
+func (h *Hub) ConfirmInstances(at time.Time) {
+	h.update(func(next *state) {
+		if at.After(next.confirmed) {
+			next.confirmed = at
+		}
+	})
+}
+
+// SetControllers makes the internal addresses of the controllers known. They go out with the next answers.
+func (h *Hub) SetControllers(addresses []string) {
+	if slices.Equal(h.state.Load().snapshot.Controllers, addresses) {
+		return
+	}
+	own := slices.Clone(addresses)
+	h.update(func(next *state) { next.snapshot.Controllers = own })
+}
+
+// SetRouters makes the number of living routers known. It goes out with the next answers.
+func (h *Hub) SetRouters(count int) {
+	if h.state.Load().snapshot.Routers == max(count, 1) {
+		return
+	}
+	h.update(func(next *state) { next.snapshot.Routers = max(count, 1) })
+}
+
+// update swaps the state for a changed copy and wakes the polls if its version moved on.
+func (h *Hub) update(change func(next *state)) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	current := h.state.Load()
+	next := *current
+	change(&next)
+	if !newer(next.snapshot.Version, current.snapshot.Version) {
+		h.state.Store(&next)
+		return
+	}
+	next.changed = make(chan struct{})
+	h.state.Store(&next)
+	close(current.changed)
+}
+
+func (s *state) setConfig(revision uint64, config *fleetwire.Config, packed fleetwire.Packed) {
+	if revision <= s.snapshot.Version.ConfigRevision {
+		return
+	}
+	s.snapshot.Version.ConfigRevision = revision
+	s.snapshot.Config = config
+	s.packedConfig = packed
+}
+
+func (s *state) setList(version fleetwire.ListVersion, list []fleetwire.Instance, packed fleetwire.Packed, at time.Time) {
+	if !s.snapshot.Version.Instances.Less(version) {
+		return
+	}
+	s.snapshot.Version.Instances = version
+	s.snapshot.Instances = list
+	s.packedList = packed
+	s.confirmed = at
+}
+
+// Serve answers one poll: at once if there is something newer or the hub is out of touch, otherwise when either comes about or
+// the time to wait is over.
+func (h *Hub) Serve(ctx context.Context, request fleetwire.WatchRequest) (fleetwire.WatchReply, error) {
+	received := time.Now()
+	if h.options.Seen != nil {
+		h.options.Seen(&request)
+	}
+	wait := min(time.Duration(max(request.WaitMs, 0))*time.Millisecond, h.options.MaxWait)
+	for {
+		current := h.state.Load()
+		remaining := min(wait-time.Since(received), h.options.MaxQuorumAge-h.quorumAge())
+		if remaining <= 0 || newer(current.snapshot.Version, request.Have) {
+			return h.reply(current, request.Have, received), nil
+		}
+		if err := h.waitFor(ctx, current.changed, remaining); err != nil {
+			return fleetwire.WatchReply{}, err
+		}
+		if h.isClosed() {
+			return h.reply(current, request.Have, received), nil
+		}
+	}
+}
+
+// waitFor returns once the state changed, the hub is closed or the time is over, and with an error when the watcher left.
+func (h *Hub) waitFor(ctx context.Context, changed <-chan struct{}, longest time.Duration) error {
+	timer := time.NewTimer(longest)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-h.closed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (h *Hub) isClosed() bool {
+	select {
+	case <-h.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// quorumAge is the age that watchers are told: beyond every bound once the hub is closed.
+func (h *Hub) quorumAge() time.Duration {
+	if h.isClosed() {
+		return unknownAge
+	}
+	return min(h.options.QuorumAge(), unknownAge)
+}
+
+func (h *Hub) reply(current *state, have fleetwire.Version, received time.Time) fleetwire.WatchReply {
+	now := time.Now()
+	reply := fleetwire.WatchReply{
+		Now:         current.snapshot.Version,
+		Controllers: current.snapshot.Controllers,
+		Routers:     current.snapshot.Routers,
+		QuorumAgeMs: millis(h.quorumAge()),
+		ListAgeMs:   millis(ageAt(now, current.confirmed)),
+		HeldMs:      now.Sub(received).Milliseconds(),
+	}
+	if current.snapshot.Version.ConfigRevision > have.ConfigRevision {
+		reply.Config = current.packedConfig
+	}
+	if have.Instances.Less(current.snapshot.Version.Instances) {
+		reply.Instances = current.packedList
+	}
+	return reply
+}
--- a/internal/fleetwire/fleetwire.go
+++ b/internal/fleetwire/fleetwire.go
@@ -129,12 +129,14 @@
 	Member Member // the asking process
 }
 
+// Packed is a value that was encoded once for all watchers; package watch makes and reads it.
+type Packed []byte
+
 // WatchReply carries only the parts that are newer than what the watcher holds; the others are nil.
 type WatchReply struct {
 	Now         Version
-	Config      *Config
-	Instances   []Instance
-	HasList     bool     // Instances is a whole new list, which may be empty
+	Config      Packed   // of Config
+	Instances   Packed   // of the whole list of Instance
 	Controllers []string // internal addresses of the known controllers, IP:PORT
 	Routers     int      // routers that the controllers know to be alive, at least 1
 	// QuorumAgeMs tells how long ago the controller behind this answer last heard a majority of the replicas. A watcher
@@ -142,6 +144,8 @@
 	QuorumAgeMs int64
 	// ListAgeMs tells how long ago the platform confirmed the list.
 	ListAgeMs int64
+	// HeldMs tells how long the poll was held: the rest of the call's time the messages were on their way, and older by that.
+	HeldMs int64
 }
 
 // Member is a process as others see it.
