--- a/coordination/watch/follower.go
+++ b/coordination/watch/follower.go
@@ -44,6 +44,7 @@
 	held    state
 	current atomic.Pointer[Snapshot]
 	heard   atomic.Pointer[time.Time] // the newest moment at which a majority was heard by a source
+	source  atomic.Pointer[string]
 }
 
 // NewFollower returns a follower that holds nothing.
@@ -84,12 +85,26 @@
 		if !sleep(ctx, ask.Delay) || ask.Address == "" {
 			continue
 		}
-		before := f.choice.Current()
 		f.poll(ctx, ask)
-		if after := f.choice.Current(); after != before && after != "" {
-			f.options.Log.Info("watch source", zap.String("address", after))
-		}
+		f.noteSource()
+	}
+}
+
+// Source returns the address of the hub that serves, or nothing while none does.
+func (f *Follower) Source() string {
+	if source := f.source.Load(); source != nil {
+		return *source
+	}
+	return ""
+}
+
+func (f *Follower) noteSource() {
+	source := f.choice.Current()
+	if source == f.Source() {
+		return
 	}
+	f.source.Store(&source)
+	f.options.Log.Info("watch source", zap.String("address", source))
 }
 
 // sleep reports whether ctx is still good after the delay.
--- a/internal/fleetwire/fleetwire.go
+++ b/internal/fleetwire/fleetwire.go
@@ -152,7 +152,14 @@
 type Member struct {
 	Name    string
 	Address string // internal address, IP:PORT
-	Role    string
+	Role    string // RoleController, RoleAgent or RoleRouter
 	Zone    string
 	Region  string
 }
+
+// Roles of a member.
+const (
+	RoleController = "controller"
+	RoleAgent      = "agent"
+	RoleRouter     = "router"
+)
