--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -1,6 +1,6 @@
 // Package placement decides which worker runs a request, for each stage of it. It drives the dispatcher of package decide:
 // two random ready workers of the needed stage, a probe of both, and the lighter one gets the push. It owns the retry
-// budget and the table of workers; it never sees an HTTP message: its caller sends the push and says how it ended.
+// budget and the table of workers; it never sees the message of a client: its caller sends the push and says how it ended.
 package placement
 
 import (
@@ -24,6 +24,16 @@
 	ResultCancelled                   // the client left
 )
 
+// mayHaveRun tells whether the worker may have begun the work.
+func (r Result) mayHaveRun() bool {
+	switch r {
+	case ResultNotExecuted, ResultConnectFailed:
+		return false
+	default:
+		return true
+	}
+}
+
 // Part is one shared piece of a prompt, named by its hash.
 type Part struct {
 	ID     string
@@ -43,8 +53,11 @@
 	PreferZone   string // where the memory of the prompt lies; empty: no preference
 	Repeatable   bool   // it may run more than once
 	MaxRuns      int    // the largest number of workers that may run it
-	FreeFirst    bool   // the first push is not an arrival that counts: the reading of a prompt
-	Runs         int    // workers that may have run it before this call
+	// FreeFirst says that the first push draws nothing from the retry budget: it is the request's first arrival at the
+	// service, or the first reading of its prompt. It is false where an earlier call of Place has sent the request to the
+	// service already.
+	FreeFirst bool
+	Runs      int // workers that may have run it before this call
 }
 
 // Decision tells what the client is to be told when no worker served the job.
--- /dev/null
+++ b/internal/placement/prefix.go
@@ -0,0 +1,61 @@
+package placement
+
+import (
+	"hash/fnv"
+	"slices"
+
+	"weldscale/internal/fleetwire"
+)
+
+// unitTokens is how many tokens of a prompt count as one slot of a worker that reads prompts.
+const unitTokens = 1024
+
+// units is the work of reading that many tokens, in slots.
+func units(tokens int) float64 { return float64(tokens) / unitTokens }
+
+// sharedPrefix names the longest part of a prompt that other requests may have in common with it, and counts its tokens. The last
+// part is a request's or session's own.
+func sharedPrefix(parts []Part) (id string, tokens int) {
+	if len(parts) < 2 {
+		return "", 0
+	}
+	shared := parts[:len(parts)-1]
+	for _, part := range shared {
+		tokens += part.Tokens
+	}
+	return shared[len(shared)-1].ID, tokens
+}
+
+// home is the worker that keeps the prefix of that name, by rendezvous hashing: all routers name the same one without a word
+// between them, and when a worker leaves only its own prefixes move.
+func home(prefix string, workers []fleetwire.Instance) string {
+	if prefix == "" {
+		return ""
+	}
+	best, bestScore := "", uint64(0)
+	for i := range workers {
+		if score := rendezvousScore(prefix, workers[i].ID); best == "" || score > bestScore {
+			best, bestScore = workers[i].ID, score
+		}
+	}
+	return best
+}
+
+func rendezvousScore(key, member string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(key))
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.Write([]byte(member))
+	score := hash.Sum64()
+	score ^= score >> 33 // FNV's high bits change little with the last bytes
+	score *= 0xff51afd7ed558ccd
+	score ^= score >> 33
+	return score
+}
+
+// readyOf returns the workers of a list that take work.
+func readyOf(workers []fleetwire.Instance) []fleetwire.Instance {
+	return slices.DeleteFunc(slices.Clone(workers), func(w fleetwire.Instance) bool {
+		return w.State != fleetwire.InstanceReady
+	})
+}
