--- a/decide/holder_test.go
+++ b/decide/holder_test.go
@@ -80,7 +80,7 @@
 		t.Fatal(err)
 	}
 	d.Announce(second, ListFull, []Worker{{ID: 1, State: Ready}, {ID: 2, State: Ready}})
-	class := d.AddClass(Class{Effect: Unsafe, Aim: second, Deadline: 5 * second, Worth: 1, Kind: -1})
+	class := d.AddClass(Class{Effect: Unsafe, Aim: second, Deadline: 5 * second, Worth: 1, Kind: -1}, second/10)
 	d.Arrive(second, Job{ID: 1, Class: class, GiveUpAt: 6 * second})
 	for _, a := range r.take("probe") {
 		d.ProbeResult(second+ms, a.worker, Served, ms, Report{Has: HasFreeSlots, FreeSlots: 4})
--- a/decide/state.go
+++ b/decide/state.go
@@ -150,10 +150,11 @@
 	return d, nil
 }
 
-// AddClass makes one more class of jobs known and returns its number.
-func (d *Dispatcher) AddClass(c Class) int {
+// AddClass makes one more class of jobs known and returns its number. Its jobs are taken to run for that long until the first
+// ones have.
+func (d *Dispatcher) AddClass(c Class, run Time) int {
 	d.s.Classes = append(d.s.Classes, c)
-	d.runs = append(d.runs, float64(c.Aim))
+	d.runs = append(d.runs, float64(run))
 	d.canTry = d.canTry || c.Effect != Unsafe
 	for _, w := range d.workers {
 		w.shuns = append(w.shuns, shunned{})
--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -45,6 +45,13 @@
 	return true
 }
 
+// Refund takes back the extra arrival counted last, which did not happen.
+func (b *Budget) Refund() {
+	if at := b.slot % budgetSlots; b.extras[at] > 0 {
+		b.extras[at]--
+	}
+}
+
 func (b *Budget) advance(now time.Duration) {
 	slot := int64(now / b.span)
 	for steps := min(slot-b.slot, budgetSlots); steps > 0; steps-- {
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,272 @@
+package placement
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"weldscale/coordination/watch"
+	"weldscale/internal/fleetwire"
+)
+
+// fakeProber answers probes from a table, after a round trip of one millisecond.
+type fakeProber struct {
+	mu      sync.Mutex
+	reports map[string]Report
+	errs    map[string]error
+	probed  []string
+}
+
+func (f *fakeProber) Probe(_ context.Context, target fleetwire.Instance) (Report, error) {
+	time.Sleep(time.Millisecond) // virtual: the tests run in a bubble
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.probed = append(f.probed, target.ID)
+	return f.reports[target.ID], f.errs[target.ID]
+}
+
+func workers(stage string, n int) []fleetwire.Instance {
+	var list []fleetwire.Instance
+	for i := range n {
+		list = append(list, fleetwire.Instance{ID: fmt.Sprintf("%s-%d", stage, i), Service: "llm", Stage: stage,
+			Zone: fmt.Sprintf("z%d", i%2), State: fleetwire.InstanceReady, Slots: 8})
+	}
+	return list
+}
+
+func snapshot(sequence uint64, list []fleetwire.Instance) *watch.Snapshot {
+	return &watch.Snapshot{
+		Version: fleetwire.Version{ConfigRevision: 1, Instances: fleetwire.ListVersion{Token: 1, Sequence: sequence}},
+		Config: &fleetwire.Config{Services: []fleetwire.Service{
+			{Name: "llm", Engine: &fleetwire.Engine{Slots: 8, HandleTTLS: 5}}}},
+		Instances: list,
+		Routers:   1,
+	}
+}
+
+func newTestPlacer(prober Prober) *Placer {
+	return New(Options{Zone: "z0", Zones: []string{"z0", "z1"}, BudgetRatio: 0.2, BudgetSlack: 0,
+		BudgetWindow: 10 * time.Second, Prober: prober, Log: zap.NewNop()})
+}
+
+func testJob(stage string) Job {
+	now := time.Now()
+	return Job{Service: "llm", Stage: stage, Arrived: now, GiveUpAt: now.Add(2 * time.Second), PromptTokens: 3000,
+		Route:      &fleetwire.Route{RouteType: "streaming", TimeoutMs: 2000, TargetLatencyMs: 500},
+		Repeatable: true, MaxRuns: 2, FreeFirst: true}
+}
+
+func TestTheLighterOfTwoProbedWorkersGetsThePush(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober := &fakeProber{reports: map[string]Report{"decode-0": {Running: 6}, "decode-1": {Running: 1}}}
+		placer := newTestPlacer(prober)
+		placer.Update(snapshot(1, workers("decode", 2)))
+		var target string
+		verdict := placer.Place(t.Context(), testJob("decode"), func(_ context.Context, w fleetwire.Instance, ready func() bool) Result {
+			require.True(t, ready())
+			target = w.ID
+			return ResultServed
+		})
+		require.Equal(t, DecisionServed, verdict.Decision)
+		require.Equal(t, 1, verdict.Runs)
+		require.Equal(t, "decode-1", target)
+		slices.Sort(prober.probed)
+		require.Equal(t, []string{"decode-0", "decode-1"}, prober.probed)
+	})
+}
+
+func TestAWorkerThatDrainsBeforeTheFirstByteIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		placer := newTestPlacer(&fakeProber{})
+		list := workers("decode", 2)
+		placer.Update(snapshot(1, list))
+		var sent []string
+		verdict := placer.Place(t.Context(), testJob("decode"), func(_ context.Context, w fleetwire.Instance, ready func() bool) Result {
+			if len(sent) == 0 {
+				drained := slices.Clone(list)
+				for i := range drained {
+					if drained[i].ID == w.ID {
+						drained[i].State = fleetwire.InstanceDraining
+					}
+				}
+				placer.Update(snapshot(2, drained))
+				sent = append(sent, "not "+w.ID)
+			}
+			if !ready() {
+				return ResultNotExecuted
+			}
+			sent = append(sent, w.ID)
+			return ResultServed
+		})
+		require.Equal(t, DecisionServed, verdict.Decision)
+		require.Len(t, sent, 2)
+		require.NotEqual(t, sent[0], "not "+sent[1])
+	})
+}
+
+func TestWhatMayHaveRunIsNotSentAgainUnlessItMay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		placer := newTestPlacer(&fakeProber{})
+		placer.Update(snapshot(1, workers("decode", 4)))
+		for _, result := range []Result{ResultBroken, ResultTimedOut, ResultFailed} {
+			job := testJob("decode")
+			job.Repeatable = false
+			pushes := 0
+			verdict := placer.Place(t.Context(), job, func(_ context.Context, _ fleetwire.Instance, ready func() bool) Result {
+				ready()
+				pushes++
+				return result
+			})
+			require.Equal(t, DecisionFailed, verdict.Decision)
+			require.Equal(t, 1, pushes)
+		}
+	})
+}
+
+func TestRefusalPromisesThatNothingRan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		placer := newTestPlacer(&fakeProber{})
+		placer.Update(snapshot(1, workers("decode", 4)))
+		job := testJob("decode")
+		verdict := placer.Place(t.Context(), job, func(_ context.Context, _ fleetwire.Instance, ready func() bool) Result {
+			ready()
+			return ResultNotExecuted
+		})
+		require.Equal(t, DecisionRefused, verdict.Decision)
+		require.Positive(t, verdict.RetryAfter)
+		job = testJob("decode")
+		job.Runs = 1
+		verdict = placer.Place(t.Context(), job, func(_ context.Context, _ fleetwire.Instance, ready func() bool) Result {
+			ready()
+			return ResultNotExecuted
+		})
+		require.Equal(t, DecisionFailed, verdict.Decision)
+	})
+}
+
+func TestRunsAreBoundedForEachTry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		placer := newTestPlacer(&fakeProber{})
+		placer.Update(snapshot(1, workers("decode", 8)))
+		for range 50 { // requests that make room in the budget
+			placer.Place(t.Context(), testJob("decode"), func(_ context.Context, _ fleetwire.Instance, ready func() bool) Result {
+				ready()
+				return ResultServed
+			})
+		}
+		runs := 0
+		verdict := placer.Place(t.Context(), testJob("decode"), func(_ context.Context, _ fleetwire.Instance, ready func() bool) Result {
+			ready()
+			runs++
+			return ResultBroken
+		})
+		require.Equal(t, DecisionFailed, verdict.Decision)
+		require.Equal(t, 2, runs)
+	})
+}
+
+func TestPromptsGoToTheWorkerThatKeepsTheirPrefix(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober := &fakeProber{reports: map[string]Report{}}
+		placer := newTestPlacer(prober)
+		list := workers("prefill", 8)
+		placer.Update(snapshot(1, list))
+		job := testJob("prefill")
+		job.Parts = []Part{{"head", 500}, {"book", 2000}, {"own", 500}}
+		keeper := home("book", list)
+		push := func(targets *[]string) Push {
+			return func(_ context.Context, w fleetwire.Instance, ready func() bool) Result {
+				ready()
+				*targets = append(*targets, w.ID)
+				return ResultServed
+			}
+		}
+		var targets []string
+		for range 10 {
+			job.GiveUpAt = time.Now().Add(2 * time.Second)
+			placer.Place(t.Context(), job, push(&targets))
+			time.Sleep(time.Second)
+		}
+		require.Equal(t, slices.Repeat([]string{keeper}, 10), targets)
+		prober.reports[keeper] = Report{Running: 5} // by far more than the prefix saves
+		targets = nil
+		job.GiveUpAt = time.Now().Add(2 * time.Second)
+		placer.Place(t.Context(), job, push(&targets))
+		require.NotEqual(t, []string{keeper}, targets)
+	})
+}
+
+func TestAPartingClientEndsTheJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		placer := newTestPlacer(&fakeProber{})
+		placer.Update(snapshot(1, workers("decode", 2)))
+		ctx, cancel := context.WithCancel(t.Context())
+		pushes := 0
+		verdict := placer.Place(ctx, testJob("decode"), func(ctx context.Context, _ fleetwire.Instance, ready func() bool) Result {
+			ready()
+			pushes++
+			cancel()
+			<-ctx.Done()
+			return ResultCancelled
+		})
+		require.Equal(t, DecisionFailed, verdict.Decision)
+		require.Equal(t, 1, pushes)
+	})
+}
+
+func TestRoutersNameTheSameHomeAndOnlyMoveWhatTheyMust(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := workers("prefill", rapid.IntRange(2, 40).Draw(t, "workers"))
+		prefix := rapid.StringMatching(`[0-9a-f]{8}`).Draw(t, "prefix")
+		keeper := home(prefix, list)
+		shuffled := slices.Clone(list)
+		rand.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+		if home(prefix, shuffled) != keeper {
+			t.Fatal("the home depends on the order of the list")
+		}
+		gone := rapid.IntRange(0, len(list)-1).Draw(t, "gone")
+		if list[gone].ID != keeper && home(prefix, slices.Delete(slices.Clone(list), gone, gone+1)) != keeper {
+			t.Fatal("a prefix moved though its worker stayed")
+		}
+	})
+}
+
+func TestBudgetNeverExceedsItsShareOfAnyWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const window = 10 * time.Second
+		ratio, slack := 0.2, float64(rapid.IntRange(0, 5).Draw(t, "slack"))
+		budget := NewBudget(ratio, slack, window)
+		var requests, extras []time.Duration
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 400).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "gap")) * time.Millisecond
+			if rapid.Bool().Draw(t, "request") {
+				budget.Request(now)
+				requests = append(requests, now)
+			} else if budget.Spend(now) {
+				extras = append(extras, now)
+			}
+			inWindow := func(list []time.Duration) (n float64) {
+				for _, at := range list {
+					if at > now-window {
+						n++
+					}
+				}
+				return n
+			}
+			// What fell out of the window less than a slot ago may still be counted, on either side.
+			if got, most := inWindow(extras), ratio*inWindow(requests)+slack; got > most+1+ratio*20 {
+				t.Fatalf("%v extras in a window, %v allowed", got, most)
+			}
+		}
+	})
+}
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -151,7 +151,7 @@
 	id, placed := target.arrive(&job)
 	defer target.forget(id)
 	runs := job.Runs
-	for pushes := 0; ; pushes++ {
+	for pushes := 0; ; {
 		select {
 		case <-ctx.Done():
 			target.call(func(now decide.Time) { target.dispatch.Hangup(now, id) })
@@ -173,8 +173,10 @@
 			result, sent := target.send(ctx, placed, order, push)
 			if !sent {
 				target.outcome(id, order, decide.Moot)
+				p.unspend(&job, pushes)
 				continue
 			}
+			pushes++
 			if result.mayHaveRun() {
 				runs++
 			}
@@ -218,6 +220,16 @@
 	return p.budget(job.Service).Spend(time.Since(p.start))
 }
 
+// unspend gives back what mayPush took from the budget for a push that was not sent.
+func (p *Placer) unspend(job *Job, pushes int) {
+	if pushes == 0 && job.FreeFirst {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget(job.Service).Refund()
+}
+
 // refused is the verdict on a job that no worker has run: its client may come back soon.
 func (p *Placer) refused(job *Job, runs int) Verdict {
 	if runs > 0 {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -13,6 +13,7 @@
 
 const (
 	maxPushes      = 8   // of one stage of a request, those included that were refused unseen
+	guessedRun     = 4   // a stage is taken to need the aim divided by this, until one was seen
 	usualUnits     = 4.0 // of a prompt, until the first ones are seen
 	learnRate      = 0.05
 	maxClasses     = 512 // beyond it a class is shared: routes come and go
@@ -215,7 +216,8 @@
 	if len(p.classes) >= maxClasses {
 		return 0
 	}
-	class = p.dispatch.AddClass(key.class())
+	guess := time.Duration(job.Route.TargetLatencyMs) * time.Millisecond / guessedRun
+	class = p.dispatch.AddClass(key.class(), guess.Microseconds())
 	p.classes[key] = class
 	return class
 }
