--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,270 @@
+package engine
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+func job(id string, output int, parts ...Part) Job {
+	return Job{ID: id, Model: "m", Parts: parts, Output: output}
+}
+
+// kindsOf lists the kinds of a job's events.
+func kindsOf(events []Event, id string) (kinds []Kind) {
+	for _, event := range events {
+		if event.Job == id {
+			kinds = append(kinds, event.Kind)
+		}
+	}
+	return kinds
+}
+
+func TestAPromptIsReadAndItsTokensCome(t *testing.T) {
+	e := New(Config{Stage: StageDecode, TokensPerMs: 100, Piece: 4000, Step: 3 * ms, Stride: 2}, "h")
+	require.Equal(t, Accepted, e.Submit(0, job("a", 4, Part{"p", 1000})))
+	e.Advance(19 * ms) // half the pace: 20 ms
+	require.Empty(t, e.Events())
+	e.Advance(100 * ms)
+	events := e.Events()
+	require.Equal(t, Event{Job: "a", Kind: KindTokens, At: 20 * ms, From: 1, To: 1}, events[0])
+	require.Equal(t, Event{Job: "a", Kind: KindTokens, At: 26 * ms, From: 2, To: 3}, events[1])
+	require.Equal(t, Event{Job: "a", Kind: KindTokens, At: 29 * ms, From: 4, To: 4}, events[2])
+	require.Equal(t, KindDone, events[3].Kind)
+	require.True(t, e.Kept("m", Part{"p", 1000}))
+	_, some := e.Next()
+	require.False(t, some, "an idle engine waits for nothing")
+}
+
+func TestTokensComeSlowerWhenMoreRun(t *testing.T) {
+	e := New(Config{Step: 3 * ms, StepPerSlot: ms}, "h")
+	for i := range 2 {
+		e.Submit(0, job(fmt.Sprint(i), 3))
+	}
+	e.Advance(14 * ms)
+	var at []time.Duration
+	for _, event := range e.Events() {
+		if event.Job == "0" && event.Kind == KindTokens {
+			at = append(at, event.At)
+		}
+	}
+	require.Equal(t, []time.Duration{4 * ms, 9 * ms, 14 * ms}, at, "the first step serves one, the others two")
+}
+
+func TestAKeptPartIsNotReadAgain(t *testing.T) {
+	e := New(Config{Stage: StagePrefill}, "h")
+	prompt := []Part{{"shared", 320}, {"own", 64}}
+	read := job("a", 1, prompt...)
+	read.ReadOnly = true
+	e.Submit(0, read)
+	e.Advance(time.Second)
+	require.Equal(t, 384, e.Stats().TokensRead)
+	read.ID, read.Parts = "b", []Part{{"shared", 320}, {"other", 64}}
+	e.Submit(time.Second, read)
+	e.Advance(2 * time.Second)
+	require.Equal(t, 448, e.Stats().TokensRead)
+	require.Equal(t, 320, e.Stats().TokensCached)
+}
+
+func TestAPartIsUsedOnlyWithAllBeforeIt(t *testing.T) {
+	e := New(Config{KvTokens: 64}, "h")
+	e.Submit(0, job("a", 1, Part{"x", 16}, Part{"y", 16}))
+	e.Advance(time.Second)
+	require.True(t, e.Kept("m", Part{"x", 16}, Part{"y", 16}))
+	require.False(t, e.Kept("m", Part{"other", 16}, Part{"y", 16}))
+	require.False(t, e.Kept("other model", Part{"x", 16}))
+}
+
+func TestThePartsUnusedLongestGiveWay(t *testing.T) {
+	e := New(Config{KvTokens: 64}, "h") // 4 blocks, of which one is for the tokens
+	for i, id := range []string{"x", "y", "x", "z", "w"} {
+		at := time.Duration(i) * time.Second
+		e.Submit(at, job(fmt.Sprint(i), 1, Part{id, 16}))
+		e.Advance(at + 900*ms)
+	}
+	require.True(t, e.Kept("m", Part{"w", 16}))
+	require.True(t, e.Kept("m", Part{"z", 16}))
+	require.True(t, e.Kept("m", Part{"x", 16}))
+	require.False(t, e.Kept("m", Part{"y", 16}))
+}
+
+func TestAHandleIsTakenOnceAndLapses(t *testing.T) {
+	e := New(Config{Stage: StagePrefill, HandleLifetime: time.Second}, "h")
+	read := func(at time.Duration, id string) string {
+		j := job(id, 1, Part{id, 160})
+		j.ReadOnly = true
+		e.Submit(at, j)
+		e.Advance(at + 100*ms)
+		events := e.Events()
+		require.Equal(t, []Kind{KindRead}, kindsOf(events, id))
+		return events[0].Handle
+	}
+	first := read(0, "a")
+	require.Equal(t, 1, e.State().KvHandles)
+	require.Equal(t, 176, e.State().KvUsed)
+	taken, ok := e.TakeHandle(200*ms, first, 1)
+	require.True(t, ok)
+	require.Equal(t, Taken{Job: "a", Tokens: 160}, taken)
+	_, ok = e.TakeHandle(200*ms, first, 1)
+	require.False(t, ok)
+
+	second := read(300*ms, "b")
+	e.Advance(2 * time.Second)
+	_, ok = e.TakeHandle(2*time.Second, second, 1)
+	require.False(t, ok)
+	require.Equal(t, 1, e.Stats().HandlesLapsed)
+	third := read(3*time.Second, "c")
+	require.True(t, e.FreeHandle(3200*ms, third))
+	require.False(t, e.FreeHandle(3200*ms, third))
+	require.Zero(t, e.State().KvUsed)
+}
+
+func TestAMoveTakesItsTimeAndOneWaitsForAnother(t *testing.T) {
+	e := New(Config{Stage: StagePrefill, KvTokenBytes: 1000, LinkMbps: 8}, "h") // 1 ms for a token
+	var handles []string
+	for i := range 4 {
+		j := job(fmt.Sprint(i), 1, Part{fmt.Sprint(i), 800})
+		j.ReadOnly = true
+		e.Submit(0, j)
+	}
+	e.Advance(time.Second)
+	for _, event := range e.Events() {
+		handles = append(handles, event.Handle)
+	}
+	for i, wait := range []time.Duration{0, 800 * ms, 1600 * ms} {
+		taken, ok := e.TakeHandle(time.Second, handles[i], 1)
+		require.True(t, ok)
+		require.Equal(t, wait, taken.Wait)
+	}
+	_, ok := e.TakeHandle(time.Second, handles[3], 1)
+	require.False(t, ok, "a move that would wait more than two seconds is not begun")
+
+	decode := New(Config{Stage: StageDecode, KvTokenBytes: 1000, LinkMbps: 8}, "h")
+	require.Equal(t, 2100*ms, decode.BookMove(ms*500, 0, 800, 2))
+	require.Equal(t, 2900*ms, decode.BookMove(ms*500, 0, 800, 1))
+}
+
+func TestAFullEngineRejectsAndTheUrgentGoFirst(t *testing.T) {
+	e := New(Config{Slots: 1, Queue: 2, Step: ms}, "h")
+	late := job("late", 1)
+	late.Priority = 5
+	urgent := job("urgent", 1)
+	require.Equal(t, Accepted, e.Submit(0, job("running", 3)))
+	require.Equal(t, Accepted, e.Submit(0, late))
+	require.Equal(t, Accepted, e.Submit(0, urgent))
+	require.Equal(t, RejectedFull, e.Submit(0, job("more", 1)))
+	require.Equal(t, RejectedFull, New(Config{KvTokens: 160}, "h").Submit(0, job("large", 1, Part{"p", 300})))
+	e.Advance(time.Second)
+	var done []string
+	for _, event := range e.Events() {
+		if event.Kind == KindDone {
+			done = append(done, event.Job)
+		}
+	}
+	require.Equal(t, []string{"running", "urgent", "late"}, done)
+}
+
+func TestADeadlineInTheQueueMeansNotExecuted(t *testing.T) {
+	e := New(Config{Slots: 1, Step: ms}, "h")
+	waits := job("waits", 1)
+	waits.Deadline = 5 * ms
+	e.Submit(0, job("runs", 100))
+	e.Submit(0, waits)
+	e.Advance(6 * ms)
+	require.Equal(t, []Kind{KindNotExecuted}, kindsOf(e.Events(), "waits"))
+}
+
+func TestShortMemoryPreemptsTheNewestAndItGoesOnWhereItWas(t *testing.T) {
+	e := New(Config{KvTokens: 96, Step: ms}, "h")
+	e.Submit(0, job("old", 40, Part{"a", 16}))
+	e.Submit(0, job("new", 40, Part{"b", 16}))
+	e.Advance(time.Second)
+	require.Positive(t, e.Stats().Preempted)
+	events := e.Events()
+	for _, id := range []string{"old", "new"} {
+		next := 1
+		for _, event := range events {
+			if event.Job == id && event.Kind == KindTokens {
+				require.Equal(t, next, event.From)
+				next = event.To + 1
+			}
+		}
+		require.Equal(t, 41, next)
+	}
+	require.Empty(t, e.tasks)
+}
+
+func TestOrders(t *testing.T) {
+	fence := func(n uint64) *uint64 { return &n }
+	e := New(Config{Stage: StageDecode, Slots: 1, Step: ms, Switch: time.Second, Fencing: true}, "h")
+	order := Order{Operation: OperationStage, Stage: StagePrefill, Holder: "n", FenceToken: fence(7)}
+	require.Equal(t, http.StatusBadRequest, e.Order(0, Order{Operation: OperationStage, Stage: StagePrefill, Holder: "n"}))
+	require.Equal(t, http.StatusBadRequest, e.Order(0, Order{Operation: "Other", Holder: "n", FenceToken: fence(7)}))
+	e.Submit(0, job("runs", 10))
+	e.Submit(0, job("waits", 10))
+	e.Advance(ms)
+	wrong := 5
+	mismatched := order
+	mismatched.IfRevision = &wrong
+	require.Equal(t, http.StatusConflict, e.Order(ms, mismatched))
+	require.Equal(t, http.StatusAccepted, e.Order(ms, order))
+	require.Equal(t, http.StatusConflict, e.Order(ms, order), "another is under way")
+	require.Equal(t, []Kind{KindNotExecuted}, kindsOf(e.Events(), "waits"))
+	require.Equal(t, RejectedBusy, e.Submit(2*ms, job("comes", 1)))
+	order.FenceToken = fence(6)
+	require.Equal(t, http.StatusPreconditionFailed, e.Order(2*ms, order))
+	e.Advance(500 * ms)
+	require.Equal(t, []Kind{KindDone}, kindsOf(e.Events(), "runs")[9:], "what runs comes to its end")
+	require.Equal(t, StageDecode, e.Stage())
+	e.Advance(2 * time.Second)
+	require.Equal(t, StagePrefill, e.Stage())
+	order.FenceToken = fence(7)
+	require.Equal(t, http.StatusOK, e.Order(2*time.Second, order))
+	require.Equal(t, RejectedStage, e.Submit(2*time.Second, job("comes", 1)))
+}
+
+func TestAReportIsOld(t *testing.T) {
+	e := New(Config{ReportLag: 100 * ms, Step: ms}, "h")
+	e.Advance(time.Second)
+	e.Submit(time.Second, job("a", 500))
+	require.Zero(t, e.Report(1050*ms).Running)
+	require.Equal(t, 1, e.Report(1150*ms).Running)
+}
+
+// TestMemoryIsConserved plays random work and checks the books after every move.
+func TestMemoryIsConserved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := New(Config{Stage: StagePrefill, Slots: 4, Queue: 4, KvTokens: 640, HandleLifetime: 50 * ms, Step: ms}, "h")
+		if rapid.Bool().Draw(t, "decode") {
+			e.order.stage = StageDecode
+		}
+		now := time.Duration(0)
+		for i := range rapid.IntRange(1, 40).Draw(t, "moves") {
+			now += time.Duration(rapid.IntRange(0, 20).Draw(t, "ms")) * ms
+			id := fmt.Sprint(rapid.IntRange(0, i).Draw(t, "job"))
+			switch rapid.IntRange(0, 2).Draw(t, "move") {
+			case 0, 1:
+				j := job(fmt.Sprint(i), rapid.IntRange(1, 60).Draw(t, "output"),
+					Part{fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "part")), 100}, Part{"", rapid.IntRange(0, 200).Draw(t, "own")})
+				j.ReadOnly = e.order.stage == StagePrefill
+				j.Priority = rapid.IntRange(0, 2).Draw(t, "priority")
+				e.Submit(now, j)
+			case 2:
+				e.Cancel(now, id)
+			}
+			if e.cache.free() < 0 || e.cache.private < 0 || e.cache.used() > e.cache.total {
+				t.Fatalf("books: %v", e)
+			}
+		}
+		e.Advance(now + time.Minute)
+		if len(e.tasks) > 0 || e.cache.used() != 0 || e.cache.private != 0 {
+			t.Fatalf("something is left: %v", e)
+		}
+	})
+}
