Router: routes, forwarding, streams, hand-over of prompts and an orderly end

The data plane on net/http. Connections to workers are ClientConns held by a pool of its own, so that nothing is sent again unless placement decides it.

--- /dev/null
+++ b/internal/router/forward.go
@@ -0,0 +1,329 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"weldscale/internal/fleetwire"
+	"weldscale/internal/placement"
+	"weldscale/internal/router/upstream"
+)
+
+// request is one try of a client on its way through the router. It is used by one goroutine.
+type request struct {
+	router   *Router
+	view     *view
+	route    *fleetwire.Route
+	service  *fleetwire.Service
+	incoming *http.Request
+	id       string
+	target   string      // path and query
+	header   http.Header // as passed on
+	body     []byte
+	prompt   prompt
+	arrived  time.Time
+	giveUpAt time.Time
+	abandon  context.CancelFunc // ends the placing
+	reply    reply
+	handle   *handle
+
+	mayHaveRun bool             // a worker may have begun the work
+	timedOut   bool             // the last push ended by time
+	used       []*upstream.Conn // connections that carried this request, whose late answers would look like its own
+}
+
+// Bounds of what is read of a worker's answer.
+const (
+	wholeAnswerBytes   = 1 << 20  // an answer up to this size is read whole before the client gets any of it
+	pooledBufferBytes  = 64 << 10 // larger buffers are not kept
+	rejectionBodyBytes = 4 << 10  // of a rejection, to keep its connection
+	copyBufferBytes    = 4 << 10
+	unsafeRestedAtMost = 2 * time.Second // a connection that rested longer may be closing under a request that can't be repeated
+)
+
+var (
+	answerBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+	copyBuffers   = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
+)
+
+// repeatable reports whether the request may run more than once.
+func (q *request) repeatable() bool {
+	return q.route.RouteType == routeSafe || q.streaming() && q.route.Resumable
+}
+
+func (q *request) streaming() bool { return q.route.RouteType == routeStreaming }
+
+// Types of routes.
+const (
+	routeSafe      = "safe"
+	routeStreaming = "streaming"
+)
+
+// job is what placement is told of one stage.
+func (q *request) job(stage string) placement.Job {
+	return placement.Job{
+		Service:      q.service.Name,
+		Stage:        stage,
+		Route:        q.route,
+		Arrived:      q.arrived,
+		GiveUpAt:     q.giveUpAt,
+		PromptTokens: q.prompt.input,
+		OutputTokens: q.prompt.output,
+		Parts:        q.prompt.parts,
+		Repeatable:   q.repeatable(),
+		MaxRuns:      q.route.MaxAttempts,
+		FreeFirst:    true,
+	}
+}
+
+// place runs a request of a service without stages.
+func (q *request) place(ctx context.Context) placement.Verdict {
+	return q.router.options.Placer.Place(ctx, q.job(""), q.pushAnswer(nil))
+}
+
+// pushAnswer makes the push whose answer is the client's. prepare may change the fields for a worker.
+func (q *request) pushAnswer(prepare func(target *fleetwire.Instance, header http.Header)) placement.Push {
+	return func(ctx context.Context, target fleetwire.Instance, ready func() bool) placement.Result {
+		header := q.header.Clone()
+		if id := q.reply.lastEventID(); id != "" {
+			header.Set(headerLastEventID, id)
+		}
+		if prepare != nil {
+			prepare(&target, header)
+		}
+		answer, result := q.exchange(ctx, &target, header, ready)
+		if answer == nil {
+			return result
+		}
+		if q.streaming() && answer.response.StatusCode/100 == 2 {
+			return q.returnStream(ctx, answer)
+		}
+		return q.returnAnswer(ctx, answer)
+	}
+}
+
+// answer is a worker's answer whose body is still to be read.
+type answer struct {
+	conn     *upstream.Conn
+	response *http.Response
+}
+
+// exchange sends the request to a worker and returns its answer. Without an answer that can be the client's it returns
+// nil and the result of the push.
+func (q *request) exchange(
+	ctx context.Context, target *fleetwire.Instance, header http.Header, ready func() bool,
+) (*answer, placement.Result) {
+	q.timedOut = false
+	conn, err := q.connect(ctx, target.Address)
+	if err != nil {
+		return nil, q.unsent(ctx)
+	}
+	left := time.Until(q.giveUpAt)
+	if ctx.Err() != nil || left < time.Millisecond {
+		conn.Release()
+		return nil, q.unsent(ctx)
+	}
+	header.Set(headerExpectedInstance, target.ID)
+	header.Set(headerDeadline, strconv.FormatInt(left.Milliseconds(), 10))
+	outgoing := (&http.Request{
+		Method:        q.incoming.Method,
+		URL:           workerURL(target.Address, q.target),
+		Host:          q.incoming.Host,
+		Header:        header,
+		ContentLength: int64(len(q.body)),
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+	}).WithContext(ctx)
+	if len(q.body) > 0 {
+		outgoing.Body = io.NopCloser(bytes.NewReader(q.body))
+	} else {
+		outgoing.Body = http.NoBody
+	}
+	if !ready() {
+		conn.Release()
+		return nil, placement.ResultNotExecuted
+	}
+	q.used = append(q.used, conn)
+	response, err := conn.RoundTrip(outgoing)
+	if err != nil {
+		conn.Discard()
+		if !conn.Sent() {
+			return nil, q.unsent(ctx)
+		}
+		return nil, q.broken(ctx)
+	}
+	received := &answer{conn: conn, response: response}
+	if response.Header.Get(headerRequestID) != q.id {
+		received.discard() // a late answer to another request stands in the place of ours
+		return nil, q.broken(ctx)
+	}
+	if notExecuted(response) {
+		received.reject()
+		return nil, placement.ResultNotExecuted
+	}
+	return received, placement.ResultServed
+}
+
+// connect returns a connection that has not carried this request before.
+func (q *request) connect(ctx context.Context, address string) (*upstream.Conn, error) {
+	restedAtMost := upstream.Any
+	if !q.repeatable() {
+		restedAtMost = unsafeRestedAtMost
+	}
+	for {
+		conn, err := q.router.options.Pool.Acquire(ctx, address, q.view.connectionLimit(q.service), restedAtMost)
+		if err != nil {
+			return nil, err
+		}
+		if !q.carried(conn) {
+			return conn, nil
+		}
+		conn.Discard()
+	}
+}
+
+func (q *request) carried(conn *upstream.Conn) bool {
+	for _, used := range q.used {
+		if used == conn {
+			return true
+		}
+	}
+	return false
+}
+
+// notExecuted reports whether the worker promises that the request has not run.
+func notExecuted(response *http.Response) bool {
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return true
+	}
+	_, named := response.Header[headerNotExecuted]
+	return named && response.StatusCode/100 != 2
+}
+
+// unsent is the result of a push that ended before its first byte.
+func (q *request) unsent(ctx context.Context) placement.Result {
+	if ctx.Err() != nil && q.clientGone() {
+		return placement.ResultCancelled
+	}
+	return placement.ResultConnectFailed
+}
+
+// broken is the result of a push that ended after its first byte, without an answer.
+func (q *request) broken(ctx context.Context) placement.Result {
+	q.mayHaveRun = true
+	switch {
+	case q.clientGone():
+		return placement.ResultCancelled
+	case ctx.Err() != nil && errors.Is(ctx.Err(), context.DeadlineExceeded), time.Until(q.giveUpAt) <= 0:
+		q.timedOut = true
+		return placement.ResultTimedOut
+	default:
+		return placement.ResultBroken
+	}
+}
+
+func (q *request) clientGone() bool { return q.incoming.Context().Err() != nil }
+
+// returnAnswer reads an answer that is no stream and gives it to the client.
+func (q *request) returnAnswer(ctx context.Context, received *answer) placement.Result {
+	response := received.response
+	if !presentable(response) {
+		received.discard()
+		return q.broken(ctx)
+	}
+	buffer := answerBuffers.Get().(*bytes.Buffer)
+	defer keepBuffer(buffer)
+	size, err := io.CopyN(buffer, response.Body, wholeAnswerBytes)
+	switch {
+	case err == nil && size == wholeAnswerBytes:
+		return q.returnLarge(ctx, received, buffer.Bytes())
+	case !errors.Is(err, io.EOF):
+		received.discard()
+		return q.broken(ctx)
+	}
+	received.conn.Release()
+	q.mayHaveRun = true
+	if failed(response.StatusCode) {
+		q.reply.keepFailure(response, buffer.Bytes())
+		return placement.ResultFailed
+	}
+	if q.reply.started() {
+		return placement.ResultFailed // the head of a resumed stream is out already
+	}
+	q.reply.whole(response, buffer.Bytes())
+	return placement.ResultServed
+}
+
+// returnLarge passes on an answer that is too large to be held.
+func (q *request) returnLarge(ctx context.Context, received *answer, first []byte) placement.Result {
+	q.mayHaveRun = true
+	if q.reply.started() || failed(received.response.StatusCode) {
+		received.discard()
+		return placement.ResultFailed
+	}
+	q.reply.begin(received.response, true)
+	q.reply.write(first)
+	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
+	defer copyBuffers.Put(buffer)
+	for {
+		size, err := received.response.Body.Read(buffer[:])
+		q.reply.write(buffer[:size])
+		if errors.Is(err, io.EOF) {
+			received.conn.Release()
+			q.reply.complete = true
+			return placement.ResultServed
+		}
+		if err != nil || q.reply.failed {
+			received.discard()
+			q.abandon() // what the client has can't be taken back
+			return q.broken(ctx)
+		}
+	}
+}
+
+func keepBuffer(buffer *bytes.Buffer) {
+	if buffer.Cap() <= pooledBufferBytes {
+		buffer.Reset()
+		answerBuffers.Put(buffer)
+	}
+}
+
+// presentable reports whether an answer can be a worker's: a success is stamped and not encoded, and its end is told by a
+// length or by chunks, so that a cut shows.
+func presentable(response *http.Response) bool {
+	if response.StatusCode/100 != 2 {
+		return true
+	}
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	return framed && response.Header.Get(headerSignature) != "" && response.Header.Get("Content-Encoding") == ""
+}
+
+// failed reports whether a status tells of a worker's own failure. Without Not-Executed the promises of 429 and 408 are
+// none that could be passed on.
+func failed(status int) bool {
+	return status >= 500 || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout
+}
+
+// discard gives up an answer with its connection.
+func (a *answer) discard() {
+	_ = a.response.Body.Close()
+	a.conn.Discard()
+}
+
+// reject reads a rejection to its end, so that its connection can be kept.
+func (a *answer) reject() {
+	_, err := io.CopyN(io.Discard, a.response.Body, rejectionBodyBytes)
+	_ = a.response.Body.Close()
+	if errors.Is(err, io.EOF) {
+		a.conn.Release()
+		return
+	}
+	a.conn.Discard()
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,109 @@
+// Package router is the data plane of the fleet: it takes clients' requests, finds their route in the current snapshot,
+// lets package placement choose workers, forwards the requests to them and returns their answers. It owns the HTTP side
+// of all that; it never chooses a worker and never decides whether a request may be sent again.
+package router
+
+import (
+	"context"
+	"io"
+	"log"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"weldscale/coordination/watch"
+	"weldscale/internal/fleetwire"
+	"weldscale/internal/placement"
+	"weldscale/internal/router/upstream"
+)
+
+// Placer chooses workers. *placement.Placer is one.
+type Placer interface {
+	Update(snapshot *watch.Snapshot)
+	Place(ctx context.Context, job placement.Job, push placement.Push) placement.Verdict
+}
+
+// Options set up a Router.
+type Options struct {
+	Placer Placer
+	Pool   *upstream.Pool
+	Log    *zap.Logger
+	// Direct reports whether a generation skips the prefill worker and has its prompt read by the decode worker. It is
+	// given the job of the decode stage. Nil: never.
+	Direct func(job *placement.Job) bool
+	// RetryAfter is what a refusal says when nothing better is known; 0: defaultRetryAfter.
+	RetryAfter time.Duration
+}
+
+// defaultRetryAfter is short: clients honour it only up to a third of the time they have left.
+const defaultRetryAfter = 250 * time.Millisecond
+
+// Router serves clients. It is an http.Handler.
+type Router struct {
+	options  Options
+	view     atomic.Pointer[view]
+	stopping atomic.Bool
+}
+
+// New returns a router that is not ready until Update gives it a first snapshot.
+func New(options Options) *Router {
+	if options.Log == nil {
+		options.Log = zap.NewNop()
+	}
+	if options.RetryAfter == 0 {
+		options.RetryAfter = defaultRetryAfter
+	}
+	return &Router{options: options}
+}
+
+// Update puts a newer snapshot into force. It is called by one goroutine.
+func (r *Router) Update(snapshot *watch.Snapshot) {
+	if snapshot == nil || snapshot.Config == nil {
+		return
+	}
+	previous := r.view.Load()
+	if previous != nil && snapshot.Version.ConfigRevision < previous.snapshot.Version.ConfigRevision {
+		return
+	}
+	next, faults := newView(previous, snapshot)
+	for _, fault := range faults {
+		r.options.Log.Warn("route left out", zap.Error(fault))
+	}
+	r.options.Placer.Update(snapshot)
+	r.view.Store(next)
+}
+
+// Ready reports whether new clients are welcome.
+func (r *Router) Ready() bool {
+	current := r.view.Load()
+	return !r.stopping.Load() && current != nil && current.snapshot.Version.Instances != fleetwire.ListVersion{}
+}
+
+// Stop makes the router not ready; it serves on, and asks clients to leave their connections.
+func (r *Router) Stop() { r.stopping.Store(true) }
+
+// ReadinessHandler answers the platform's probes.
+func (r *Router) ReadinessHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		status := http.StatusOK
+		if !r.Ready() {
+			status = http.StatusServiceUnavailable
+		}
+		w.Header()["Date"] = nil
+		w.WriteHeader(status)
+	})
+}
+
+// sweep closes connections to workers that are gone.
+func (r *Router) sweep() {
+	current := r.view.Load()
+	if current == nil {
+		return
+	}
+	r.options.Pool.Sweep(func(address string) bool { return current.addresses[address] })
+}
+
+// quietNetHTTP drops the lines that net/http writes about each connection that misbehaves.
+func quietNetHTTP() { log.SetOutput(io.Discard) }
--- /dev/null
+++ b/internal/router/run.go
@@ -0,0 +1,162 @@
+package router
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"weldscale/coordination/transport"
+	"weldscale/coordination/watch"
+	"weldscale/internal/fleetwire"
+	"weldscale/internal/placement"
+	"weldscale/internal/router/upstream"
+	"weldscale/internal/settings"
+)
+
+const (
+	// gcPercent keeps the heap near what is live: memory at its peak is priced above the collections.
+	gcPercent = 40
+	// agentMaxQuorumAge is the age beyond which an agent is not believed by a router that has no snapshot yet. It lies above
+	// the age at which an agent leaves a controller of its own.
+	agentMaxQuorumAge = 3 * time.Second
+	// maxHeaderBytes bounds what the server reads of a head; the configuration's limit lies below and is checked after.
+	maxHeaderBytes = 256 << 10
+	housekeeping   = 5 * time.Second
+)
+
+// Run runs a router until ctx is done, then lets it leave in order.
+func Run(ctx context.Context, current *settings.Settings, log *zap.Logger) error {
+	debug.SetGCPercent(gcPercent)
+	quietNetHTTP()
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) // it must not end the process; nothing here comes from the file
+	frontend, err := net.Listen("tcp", current.Listen.Frontend)
+	if err != nil {
+		return eris.Wrap(err, "listen for clients")
+	}
+	readiness, err := net.Listen("tcp", current.Listen.Readiness)
+	if err != nil {
+		return eris.Wrap(err, "listen for readiness probes")
+	}
+	zones := make([]string, 0, len(current.Zones))
+	for zone := range current.Zones {
+		zones = append(zones, zone)
+	}
+	router := New(Options{
+		Placer: placement.New(placement.Options{
+			Zone:         current.Zone,
+			Zones:        zones,
+			BudgetRatio:  current.Bounds.RetryBudgetRatio,
+			BudgetSlack:  current.Bounds.BudgetSlack,
+			BudgetWindow: current.Bounds.BudgetWindow(),
+			Log:          log,
+		}),
+		Pool: upstream.New(upstream.Options{}),
+		Log:  log,
+	})
+	return router.run(ctx, current, frontend, readiness)
+}
+
+// run serves on the listeners and follows the agent until ctx is done.
+func (r *Router) run(ctx context.Context, current *settings.Settings, frontend, readiness net.Listener) error {
+	following, stopFollowing := context.WithCancel(context.Background())
+	defer stopFollowing()
+	go r.follow(following, current)
+	idle := newIdleConns()
+	clients := &http.Server{Handler: r, MaxHeaderBytes: maxHeaderBytes, ConnState: idle.track}
+	probes := &http.Server{Handler: r.ReadinessHandler(), IdleTimeout: defaultIdleAllowed}
+	failed := make(chan error, 2)
+	go func() { failed <- clients.Serve(frontend) }()
+	go func() { failed <- probes.Serve(readiness) }()
+	go r.keepHouse(following, idle)
+	r.options.Log.Info("router serves", zap.String("address", frontend.Addr().String()))
+	select {
+	case err := <-failed:
+		return eris.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	r.leave(clients, probes, leaveTimes(current.Bounds.Grace()))
+	return nil
+}
+
+// follow keeps the snapshot up to date from the agent of this machine.
+func (r *Router) follow(ctx context.Context, current *settings.Settings) {
+	agent := []string{current.AgentAddress()}
+	follower := watch.NewFollower(watch.FollowerOptions{
+		Self: fleetwire.Member{
+			Name:    current.NodeName,
+			Address: current.InternalAddress(),
+			Role:    fleetwire.RoleRouter,
+			Zone:    current.Zone,
+			Region:  current.Region,
+		},
+		Sources:      func() []string { return agent },
+		Client:       transport.NewClient(),
+		OnChange:     r.Update,
+		MaxQuorumAge: agentMaxQuorumAge,
+		Log:          r.options.Log,
+	})
+	follower.Run(ctx)
+}
+
+// keepHouse closes what nobody uses.
+func (r *Router) keepHouse(ctx context.Context, idle *idleConns) {
+	ticker := time.NewTicker(housekeeping)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			idle.close(r.idleAllowed())
+			r.sweep()
+		}
+	}
+}
+
+// Leaving within the grace of the platform.
+const (
+	drainAtMost  = 2500 * time.Millisecond // the platform sends no new clients after two missed seconds
+	drainPart    = 3                       // of the grace, at most one in so many
+	leaveReserve = time.Second             // of the grace, for the end of the process
+	reservePart  = 5
+)
+
+// leaving is how long a router that stops goes on.
+type leaving struct {
+	drain  time.Duration // takes new clients
+	finish time.Duration // then lets the requests it has end
+}
+
+func leaveTimes(grace time.Duration) leaving {
+	drain := min(drainAtMost, grace/drainPart)
+	reserve := min(leaveReserve, grace/reservePart)
+	return leaving{drain: drain, finish: max(0, grace-drain-reserve)}
+}
+
+// leave stops in order: not ready at once, serving while the platform still sends clients, then the listeners and idle
+// connections are closed, and last what has not ended.
+func (r *Router) leave(clients, probes *http.Server, times leaving) {
+	r.Stop()
+	r.options.Log.Info("router leaves")
+	time.Sleep(times.drain)
+	ctx, cancel := context.WithTimeout(context.Background(), times.finish)
+	defer cancel()
+	var ended sync.WaitGroup
+	ended.Go(func() {
+		if clients.Shutdown(ctx) != nil {
+			_ = clients.Close()
+		}
+	})
+	ended.Wait()
+	_ = probes.Close()
+	r.options.Pool.Close()
+}
