--- a/coordination/watch/choice.go
+++ b/coordination/watch/choice.go
@@ -10,10 +10,11 @@
 const (
 	// DefaultGrace is the time beyond the wait after which a hub that hasn't answered counts as silent.
 	DefaultGrace = 700 * time.Millisecond
-	// firstDeadline bounds the first call to a hub, which is answered at once. It doubles with each round that failed, up
-	// to maxFirstDeadline, so that slow links don't keep a watcher from ever getting an answer.
+	// firstDeadline bounds the first call to a hub, which is answered at once. It doubles to maxFirstDeadline after a round
+	// that failed, for the sake of slow links. It grows no further: a round over three silent hubs must end within the time
+	// in which a machine has to be up to date after a cut.
 	firstDeadline    = 400 * time.Millisecond
-	maxFirstDeadline = 3200 * time.Millisecond
+	maxFirstDeadline = 800 * time.Millisecond
 	// The back-off between rounds in which no hub was good. Its upper end is small: while nothing is known, nothing is served.
 	minBackoff = 40 * time.Millisecond
 	maxBackoff = 300 * time.Millisecond
--- a/coordination/watch/hub.go
+++ b/coordination/watch/hub.go
@@ -18,6 +18,9 @@
 	// DefaultMaxQuorumAge is the age from which a hub counts as out of touch with the majority. It covers a few missed
 	// heartbeats of the replicas and leaves watchers time to find another hub within the bound of propagation.
 	DefaultMaxQuorumAge = time.Second
+	// RelayMaxQuorumAge is the bound for a hub that is fed by a follower, and for its watchers. It covers what a good hub may
+	// show, the time that a poll is held and the change to another hub.
+	RelayMaxQuorumAge = 2 * time.Second
 )
 
 // HubOptions sets up a hub.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -22,13 +22,10 @@
 
 const (
 	// gcPercent keeps the heap small: an agent allocates little, so frequent collections cost less than memory does.
-	gcPercent = 25
-	// relayMaxQuorumAge is the age beyond which the router is told that its agent is out of touch. It covers what a good
-	// controller may show, the time a poll is held and the change to another controller.
-	relayMaxQuorumAge = 2 * time.Second
-	headerTimeout     = 5 * time.Second
-	maxHeaderBytes    = 8 << 10
-	shutdownTimeout   = 200 * time.Millisecond
+	gcPercent       = 25
+	headerTimeout   = 5 * time.Second
+	maxHeaderBytes  = 8 << 10
+	shutdownTimeout = 200 * time.Millisecond
 )
 
 // Agent is the process beside a router.
@@ -56,7 +53,7 @@
 	agent.settings.Store(current)
 	agent.hub = watch.NewHub(watch.HubOptions{
 		QuorumAge:    func() time.Duration { return agent.follower.QuorumAge() },
-		MaxQuorumAge: relayMaxQuorumAge,
+		MaxQuorumAge: watch.RelayMaxQuorumAge,
 	})
 	agent.follower = watch.NewFollower(watch.FollowerOptions{
 		Self:    self(current),
