--- /dev/null
+++ b/cmd/weldrouter/main.go
@@ -0,0 +1,17 @@
+// Command weldrouter is the data plane of the fleet: it takes the clients' requests and forwards each to a worker.
+package main
+
+import (
+	"weldscale/internal/daemon"
+	"weldscale/internal/router"
+	"weldscale/internal/settings"
+)
+
+func main() {
+	daemon.Main(daemon.Program{
+		Name:  "weldrouter",
+		About: "takes the clients' requests and forwards each to a worker",
+		Check: (*settings.Settings).CheckFrontend,
+		Run:   router.Run,
+	})
+}
--- /dev/null
+++ b/internal/fleetconfig/diff.go
@@ -0,0 +1,88 @@
+package fleetconfig
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"weldscale/internal/fleetwire"
+)
+
+// Difference is one thing in which two configurations differ.
+type Difference struct {
+	Part string // "version", "route", "service" or "limits"
+	Name string // of the route (its place) or the service
+	What string // "added", "removed", or the key that changed
+	Old  string // empty where something was added
+	New  string // empty where something was removed
+}
+
+// Diff lists the differences between two configurations: version, limits, services and routes, in order of their names. A
+// route is known by its host and path prefix, as no two of a configuration share them.
+func Diff(old, next *fleetwire.Config) []Difference {
+	differences := diffFields("version", "", versionOnly{old.Version}, versionOnly{next.Version})
+	differences = append(differences, diffFields("limits", "", old.Limits, next.Limits)...)
+	differences = append(differences, diffItems("service", serviceNames(old), serviceNames(next))...)
+	return append(differences, diffItems("route", routePlaces(old), routePlaces(next))...)
+}
+
+type versionOnly struct{ Version int64 }
+
+func serviceNames(config *fleetwire.Config) map[string]fleetwire.Service {
+	byName := make(map[string]fleetwire.Service, len(config.Services))
+	for _, service := range config.Services {
+		byName[service.Name] = service
+	}
+	return byName
+}
+
+func routePlaces(config *fleetwire.Config) map[string]fleetwire.Route {
+	byPlace := make(map[string]fleetwire.Route, len(config.Routes))
+	for _, route := range config.Routes {
+		byPlace[strings.ToLower(route.Hostname)+route.PathPrefix] = route
+	}
+	return byPlace
+}
+
+func diffItems[Item any](part string, old, next map[string]Item) []Difference {
+	var differences []Difference
+	for name, item := range old {
+		if other, found := next[name]; found {
+			differences = append(differences, diffFields(part, name, item, other)...)
+		} else {
+			differences = append(differences, Difference{Part: part, Name: name, What: "removed"})
+		}
+	}
+	for name := range next {
+		if _, found := old[name]; !found {
+			differences = append(differences, Difference{Part: part, Name: name, What: "added"})
+		}
+	}
+	slices.SortStableFunc(differences, func(a, b Difference) int { return strings.Compare(a.Name, b.Name) })
+	return differences
+}
+
+// diffFields compares two structs of one type, field by field.
+func diffFields(part, name string, old, next any) []Difference {
+	var differences []Difference
+	before, after := reflect.ValueOf(old), reflect.ValueOf(next)
+	for i := range before.NumField() {
+		was, is := before.Field(i).Interface(), after.Field(i).Interface()
+		if reflect.DeepEqual(was, is) {
+			continue
+		}
+		field := before.Type().Field(i).Name
+		differences = append(differences, Difference{Part: part, Name: name, What: field, Old: text(was), New: text(is)})
+	}
+	return differences
+}
+
+func text(value any) string {
+	line, err := json.Marshal(value)
+	if err != nil {
+		return fmt.Sprint(value)
+	}
+	return string(line)
+}
--- a/internal/fleetconfig/parse_test.go
+++ b/internal/fleetconfig/parse_test.go
@@ -13,7 +13,8 @@
 )
 
 // example is a configuration as an operator sends it.
-const example = `{"Version":7,"Routes":[` + firstRoute + `,` + secondRoute + `],"Services":[` + services + `],"Limits":` + limits + `}`
+const example = `{"Version":7,"Routes":[` + firstRoute + `,` + secondRoute + `],"Services":[` + services + `],` +
+	`"Limits":` + limits + `}`
 
 const (
 	firstRoute = `{"Name":"first","Hostname":"shop.example","PathPrefix":"/proofs/","RouteType":"streaming","TimeoutMs":8000,` +
@@ -84,7 +85,8 @@
 		{"version below 0", `"Version":7`, `"Version":-7`, Error{Kind: KindVersion, Field: "Version"}},
 		{"timeout 0", `"TimeoutMs":8000`, `"TimeoutMs":0`, Error{Kind: KindTimeout, Route: "first", Field: "TimeoutMs"}},
 		{"timeout below 0", `"TimeoutMs":2500`, `"TimeoutMs":-1`, Error{Kind: KindTimeout, Route: "second", Field: "TimeoutMs"}},
-		{"timeout not a number", `"TimeoutMs":2500`, `"TimeoutMs":"NaN"`, Error{Kind: KindTimeout, Route: "second", Field: "TimeoutMs"}},
+		{"timeout not a number", `"TimeoutMs":2500`, `"TimeoutMs":"NaN"`,
+			Error{Kind: KindTimeout, Route: "second", Field: "TimeoutMs"}},
 		{"no timeout", `"TimeoutMs":8000,`, ``, Error{Kind: KindTimeout, Route: "first", Field: "TimeoutMs"}},
 		{"no target", `"Service":"plain","MaxAttempts":2`, `"MaxAttempts":2`,
 			Error{Kind: KindNoService, Route: "second", Field: "Service"}},
@@ -117,7 +119,9 @@
 }
 
 func TestParseRefusesWhatIsNoConfiguration(t *testing.T) {
-	for _, body := range []string{``, ` `, `null`, `[]`, `7`, `"x"`, `{}`, `{"Version":7}`, `{"Version":7,"Routes":null,"Services":[]}`} {
+	for _, body := range []string{
+		``, ` `, `null`, `[]`, `7`, `"x"`, `{}`, `{"Version":7}`, `{"Version":7,"Routes":null,"Services":[]}`,
+	} {
 		_, err := Parse([]byte(body))
 		assert.Error(t, err, body)
 	}
@@ -133,7 +137,8 @@
 		{"a fraction for a whole number of tokens", `940121`, `940121.0`},
 		{"null for a list", `"gap_aim_ms":300`, `"gap_aim_ms":300,"Later":[]`},
 		{"a service besides its split", `"Priority":1`, `"Priority":1,"Service":"plain"`},
-		{"a target without weight", `{"Service":"plain","Weight":10}`, `{"Service":"plain","Weight":10},{"Service":"plain","Weight":0}`},
+		{"a target without weight", `{"Service":"plain","Weight":10}`,
+			`{"Service":"plain","Weight":10},{"Service":"plain","Weight":0}`},
 		{"space at the end", `"IdleTimeoutMs":15000}}`, "\"IdleTimeoutMs\":15000}}\r\n "},
 		{"another protocol", `"Protocol":"h1","Tls":false,"Engine"`, `"Protocol":2,"Tls":{},"Engine"`},
 	} {
@@ -159,7 +164,8 @@
 }
 
 func TestParseKeepsFractionsOfWeightsAndTimes(t *testing.T) {
-	config, err := Parse([]byte(replaced(t, `"Weight":90},{"Service":"plain","Weight":10}`, `"Weight":0.75},{"Service":"plain","Weight":0.25}`)))
+	fractions := replaced(t, `"Weight":90},{"Service":"plain","Weight":10}`, `"Weight":0.75},{"Service":"plain","Weight":0.25}`)
+	config, err := Parse([]byte(fractions))
 	require.NoError(t, err)
 	assert.Equal(t, []fleetwire.WeightedService{{Service: "engine", Weight: 750_000}, {Service: "plain", Weight: 250_000}},
 		config.Routes[0].Split)
