Controller: operator's API, list of instances and leases over the register

The controller serves the operator on the register, publishes configurations and lists to watchers, and reads the platform's list under a lease. The controller itself has no tests yet.

--- /dev/null
+++ b/coordination/lease/decider.go
@@ -0,0 +1,257 @@
+package lease
+
+import (
+	"slices"
+	"time"
+)
+
+// Decider is one member's part in all roles. It is not safe for use by several goroutines.
+type Decider struct {
+	self    Member
+	timing  Timing
+	voters  []string // addresses
+	voter   voter
+	roles   map[string]*role
+	peers   map[string]*peer // by address
+	healthy bool
+	leaving bool
+}
+
+// role is what a member knows of one role.
+type role struct {
+	key       string
+	record    Record
+	released  uint64 // token that its holder gave up
+	lastSign  time.Duration
+	vacantAt  time.Duration
+	vacant    bool
+	claimedAt time.Duration
+	claimed   bool
+	// grants holds for each voter when the ask that it granted under the record's token was sent.
+	grants map[string]time.Duration
+	// silent holds for each voter when it said that the holder under the record's token is silent.
+	silent map[string]time.Duration
+}
+
+type peer struct {
+	life    string
+	healthy bool
+	heardAt time.Duration
+}
+
+// New returns the decider of a member. Fresh tells that the whole group starts for the first time, so that there can be no
+// grants of a former life.
+func New(self Member, keys []string, timing Timing, now time.Duration, fresh bool) *Decider {
+	mutedTil := now + timing.Grant
+	if fresh {
+		mutedTil = now
+	}
+	roles := make(map[string]*role, len(keys))
+	for _, key := range keys {
+		roles[key] = newRole(key, now)
+	}
+	return &Decider{
+		self:   self,
+		timing: timing,
+		voter:  newVoter(timing.Grant, mutedTil),
+		roles:  roles,
+		peers:  make(map[string]*peer),
+	}
+}
+
+func newRole(key string, now time.Duration) *role {
+	return &role{
+		key:      key,
+		lastSign: now,
+		grants:   make(map[string]time.Duration),
+		silent:   make(map[string]time.Duration),
+	}
+}
+
+// Learn takes the newest state of the register: the addresses of its replicas, which are the voters, and the records. A
+// record older than the known one is passed over.
+func (d *Decider) Learn(now time.Duration, voters []string, records map[string]Record) {
+	d.voters = slices.Clone(voters)
+	for key, record := range records {
+		if known, ok := d.roles[key]; ok && record.Token > known.record.Token {
+			known.change(now, record)
+		}
+	}
+}
+
+func (r *role) change(now time.Duration, record Record) {
+	r.record = record
+	r.lastSign = now
+	r.vacant = false
+	r.claimed = false
+	clear(r.grants)
+	clear(r.silent)
+}
+
+// Heartbeat returns the message to be sent to every other member now. Healthy tells that this member hears a majority of
+// the register's replicas.
+func (d *Decider) Heartbeat(now time.Duration, healthy bool) Message {
+	d.healthy = healthy
+	message := Message{From: d.self, Healthy: healthy}
+	for _, known := range d.sorted() {
+		if known.record.Token == 0 || known.record.Holder != d.self {
+			continue
+		}
+		ask := Ask{Key: known.key, Token: known.record.Token}
+		if known.released == ask.Token {
+			message.Released = append(message.Released, ask)
+			d.voter.release(now, ask)
+			continue
+		}
+		message.Asks = append(message.Asks, ask)
+		if d.voter.ask(now, ask) {
+			known.grants[d.self.Address] = now
+		}
+		if d.holds(now, known) {
+			known.lastSign = now
+			message.Holding = append(message.Holding, ask)
+		}
+	}
+	return message
+}
+
+// Receive answers the heartbeat of another member.
+func (d *Decider) Receive(now time.Duration, message Message) Reply {
+	d.hear(now, message.From, message.Healthy)
+	reply := Reply{From: d.self, Healthy: d.healthy}
+	for _, released := range message.Released {
+		d.voter.release(now, released)
+		if known, ok := d.roles[released.Key]; ok {
+			known.released = max(known.released, released.Token)
+		}
+	}
+	for _, ask := range message.Asks {
+		if d.voter.ask(now, ask) {
+			reply.Granted = append(reply.Granted, ask)
+		}
+	}
+	for _, held := range message.Holding {
+		known, ok := d.roles[held.Key]
+		if ok && known.record.Holder == message.From && known.record.Token == held.Token {
+			known.lastSign = now
+		}
+	}
+	reply.Silent = d.silentRoles(now)
+	return reply
+}
+
+// Answered takes the reply to a message that was sent at sentAt and came at now.
+func (d *Decider) Answered(sentAt, now time.Duration, reply Reply) {
+	d.hear(now, reply.From, reply.Healthy)
+	for _, granted := range reply.Granted {
+		known, ok := d.roles[granted.Key]
+		if ok && known.record.Token == granted.Token {
+			known.grants[reply.From.Address] = max(known.grants[reply.From.Address], sentAt)
+		}
+	}
+	for _, known := range d.roles {
+		ask := Ask{Key: known.key, Token: known.record.Token}
+		if slices.Contains(reply.Silent, ask) {
+			known.silent[reply.From.Address] = now
+		} else {
+			delete(known.silent, reply.From.Address)
+		}
+	}
+}
+
+// Holds reports whether this member may act in a role now, and under which token. It must be asked again before each act.
+func (d *Decider) Holds(now time.Duration, key string) (uint64, bool) {
+	known, ok := d.roles[key]
+	if !ok || !d.holds(now, known) {
+		return 0, false
+	}
+	return known.record.Token, true
+}
+
+// Release gives up all roles of this member for good; it takes none again. The next heartbeat tells the others.
+func (d *Decider) Release() {
+	d.leaving = true
+	for _, known := range d.roles {
+		if known.record.Holder == d.self {
+			known.released = known.record.Token
+		}
+	}
+}
+
+// Record returns what this member knows of a role.
+func (d *Decider) Record(key string) Record {
+	if known, ok := d.roles[key]; ok {
+		return known.record
+	}
+	return Record{}
+}
+
+// Live returns the addresses of the members that were heard within the bound of silence, this one included, in order.
+func (d *Decider) Live(now time.Duration) []string {
+	live := []string{d.self.Address}
+	for address, known := range d.peers {
+		if address != d.self.Address && now-known.heardAt < d.timing.Silence {
+			live = append(live, address)
+		}
+	}
+	slices.Sort(live)
+	return live
+}
+
+func (d *Decider) hear(now time.Duration, from Member, healthy bool) {
+	known := d.peers[from.Address]
+	if known == nil {
+		known = &peer{}
+		d.peers[from.Address] = known
+	}
+	known.life = from.Life
+	known.healthy = healthy
+	known.heardAt = now
+}
+
+func (d *Decider) holds(now time.Duration, known *role) bool {
+	if known.record.Token == 0 || known.record.Holder != d.self || known.released == known.record.Token {
+		return false
+	}
+	span := d.timing.Grant - d.timing.Margin
+	return d.majority(known.grants, func(sentAt time.Duration) bool { return now < sentAt+span })
+}
+
+// majority reports whether more than half of the voters have an entry that counts.
+func (d *Decider) majority(entries map[string]time.Duration, counts func(time.Duration) bool) bool {
+	count := 0
+	for _, address := range d.voters {
+		if at, ok := entries[address]; ok && counts(at) {
+			count++
+		}
+	}
+	return count > len(d.voters)/2
+}
+
+func (d *Decider) silentRoles(now time.Duration) []Ask {
+	var silent []Ask
+	for _, known := range d.sorted() {
+		if d.silentHere(now, known) {
+			silent = append(silent, Ask{Key: known.key, Token: known.record.Token})
+		}
+	}
+	return silent
+}
+
+func (d *Decider) silentHere(now time.Duration, known *role) bool {
+	return now-known.lastSign >= d.timing.Silence
+}
+
+func (d *Decider) sorted() []*role {
+	roles := make([]*role, 0, len(d.roles))
+	for _, known := range d.roles {
+		roles = append(roles, known)
+	}
+	slices.SortFunc(roles, func(a, b *role) int {
+		if a.key < b.key {
+			return -1
+		}
+		return 1
+	})
+	return roles
+}
--- /dev/null
+++ b/coordination/lease/lease.go
@@ -0,0 +1,76 @@
+// Package lease decides which process of a group holds a singleton role. A role has a key; its holder is recorded in a
+// linearizable register together with a fencing token that rises with every change of holder. The record alone does not
+// let a holder act: it also needs grants, short promises of the voters, from a majority of them. A voter grants a role
+// under one token at a time, so that a new holder begins to act only after the grants of the former one have run out or
+// have been given back. A process that was frozen or cut off sees by its own steady clock that its grants have run out.
+//
+// The package holds no clock, socket or disk. Times are readings of one steady clock of the process; durations of
+// different processes are compared, their readings never are.
+package lease
+
+import "time"
+
+// Member is one life of a process: the address stays over a restart, the life does not.
+type Member struct {
+	Address string
+	Life    string
+}
+
+// Record is what the register holds of a role. The zero value is a role that nobody has held.
+type Record struct {
+	Holder Member
+	Token  uint64
+}
+
+// Ask names a role under a token.
+type Ask struct {
+	Key   string
+	Token uint64
+}
+
+// Message is the heartbeat that every member sends to every other.
+type Message struct {
+	From    Member
+	Healthy bool // the sender hears a majority of the register's replicas
+	// Asks are the roles that the register records for the sender: it asks the receiver for its grant.
+	Asks []Ask
+	// Holding are those of the asks for which the sender has the grants of a majority.
+	Holding []Ask
+	// Released are roles that the sender has given up for good.
+	Released []Ask
+}
+
+// Reply answers a Message.
+type Reply struct {
+	From    Member
+	Healthy bool
+	Granted []Ask
+	// Silent are the roles whose recorded holder has not been heard for the bound of silence.
+	Silent []Ask
+}
+
+// Claim is a role to be taken by a write of the register, if its token is still Previous.
+type Claim struct {
+	Key      string
+	Previous uint64
+}
+
+// Timing holds the spans of a group. All members must use the same.
+type Timing struct {
+	// Grant is how long a voter's grant holds.
+	Grant time.Duration
+	// Margin is how much earlier a holder takes a grant to have ended, for timers that fire late.
+	Margin time.Duration
+	// Silence is how long a holder must not have been heard before it is replaced. It is above Grant, so that the grants
+	// of a holder that is gone have run out when its successor asks for them.
+	Silence time.Duration
+}
+
+// DefaultTiming fits heartbeats each 200 ms: a grant outlives two lost heartbeats.
+func DefaultTiming() Timing {
+	return Timing{
+		Grant:   600 * time.Millisecond,
+		Margin:  50 * time.Millisecond,
+		Silence: 700 * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/coordination/lease/voter.go
@@ -0,0 +1,48 @@
+package lease
+
+import "time"
+
+// voter is the part of a member that grants roles to others. It remembers grants in memory only: after a start it grants
+// nothing until those of its former life have run out.
+type voter struct {
+	grant    time.Duration
+	mutedTil time.Duration
+	grants   map[string]grant
+}
+
+type grant struct {
+	token   uint64 // of the current or last grant
+	highest uint64 // highest token that was asked for
+	until   time.Duration
+}
+
+func newVoter(span time.Duration, mutedTil time.Duration) voter {
+	return voter{grant: span, mutedTil: mutedTil, grants: make(map[string]grant)}
+}
+
+// ask reports whether the role is granted for the voter's span from now on.
+func (v *voter) ask(now time.Duration, ask Ask) bool {
+	current := v.grants[ask.Key]
+	if ask.Token < current.highest {
+		return false
+	}
+	current.highest = ask.Token
+	taken := current.token != ask.Token && now < current.until
+	granted := !taken && now >= v.mutedTil
+	if granted {
+		current.token = ask.Token
+		current.until = now + v.grant
+	}
+	v.grants[ask.Key] = current
+	return granted
+}
+
+// release ends the grant of the role, if it was given under the token.
+func (v *voter) release(now time.Duration, released Ask) {
+	current := v.grants[released.Key]
+	if current.token != released.Token || now >= current.until {
+		return
+	}
+	current.until = now
+	v.grants[released.Key] = current
+}
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,80 @@
+// Package controller is the program of the core machines. It serves the operator's API on a replicated register, publishes
+// the configuration and the platform's list of instances to watchers, and shares the singleton roles with the other
+// controllers by leases.
+package controller
+
+import (
+	"context"
+	"crypto/rand"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"weldscale/coordination/lease"
+	"weldscale/coordination/transport"
+	"weldscale/coordination/watch"
+	"weldscale/internal/fleetwire"
+	"weldscale/internal/instances"
+	"weldscale/internal/settings"
+)
+
+// controller ties the parts of one process together.
+type controller struct {
+	settings *atomic.Pointer[settings.Settings]
+	self     lease.Member
+	log      *zap.Logger
+	client   *transport.Client
+	node     stateRegister
+	operator *operatorAPI
+	hub      *watch.Hub
+	leases   *leases
+	lists    *lists
+	roster   *roster
+	census   *census
+	poller   *instances.Poller
+
+	ctx       context.Context // of the whole run, for work that no caller waits for
+	beatNow   chan struct{}
+	fetching  atomic.Bool
+	catching  atomic.Bool
+	published atomic.Uint64 // number of the newest configuration that was published
+}
+
+func newController(
+	ctx context.Context, latest *atomic.Pointer[settings.Settings], node stateRegister, client *transport.Client, log *zap.Logger,
+) *controller {
+	current := latest.Load()
+	c := &controller{
+		settings: latest,
+		self:     lease.Member{Address: current.InternalAddress(), Life: rand.Text()},
+		log:      log,
+		client:   client,
+		node:     node,
+		operator: newOperatorAPI(node, log),
+		census:   newCensus(),
+		ctx:      ctx,
+		beatNow:  make(chan struct{}, 1),
+	}
+	c.roster = newRoster(c.self.Address, current.SeedInternalAddresses())
+	c.hub = watch.NewHub(watch.HubOptions{QuorumAge: node.QuorumAge, MaxQuorumAge: maxQuorumAge, Seen: c.sawWatcher})
+	c.leases = newLeases(c.self, current.Bootstrap)
+	c.lists = newLists(c.hub, log)
+	reader := instances.NewReader(func() string { return latest.Load().Cloud.Address })
+	mayRead := func() (uint64, bool) { return c.leases.holds(roleReader) }
+	c.poller = instances.NewPoller(reader, mayRead, c.listRead(ctx), log)
+	return c
+}
+
+// sawWatcher counts the agents, of which there is one beside each router.
+func (c *controller) sawWatcher(request *fleetwire.WatchRequest) {
+	if request.Member.Role == fleetwire.RoleAgent {
+		c.census.saw(time.Now(), request.Member.Name)
+	}
+}
+
+// settingsChanged takes a new settings file.
+func (c *controller) settingsChanged(next *settings.Settings) {
+	c.settings.Store(next)
+	c.roster.setSeeds(next.SeedInternalAddresses())
+}
--- /dev/null
+++ b/internal/controller/leases.go
@@ -0,0 +1,43 @@
+package controller
+
+import (
+	"sync"
+	"time"
+
+	"weldscale/coordination/lease"
+)
+
+// roleReader is the key of the role that reads the platform's list of instances.
+const roleReader = "instances/reader"
+
+// leases guards the lease decider and gives it the time.
+type leases struct {
+	started time.Time
+
+	mutex   sync.Mutex
+	decider *lease.Decider
+}
+
+func newLeases(self lease.Member, fresh bool) *leases {
+	decider := lease.New(self, []string{roleReader}, lease.DefaultTiming(), 0, fresh)
+	return &leases{started: time.Now(), decider: decider}
+}
+
+// now is the steady time since the start.
+func (l *leases) now() time.Duration { return time.Since(l.started) }
+
+func (l *leases) with(act func(decider *lease.Decider, now time.Duration)) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	act(l.decider, l.now())
+}
+
+func (l *leases) holds(key string) (token uint64, held bool) {
+	l.with(func(decider *lease.Decider, now time.Duration) { token, held = decider.Holds(now, key) })
+	return token, held
+}
+
+func (l *leases) live() (live []string) {
+	l.with(func(decider *lease.Decider, now time.Duration) { live = decider.Live(now) })
+	return live
+}
--- /dev/null
+++ b/internal/controller/lists.go
@@ -0,0 +1,149 @@
+package controller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"weldscale/coordination/watch"
+	"weldscale/internal/fleetwire"
+	"weldscale/internal/instances"
+)
+
+// lists keeps the newest list of instances and publishes it to the watchers.
+type lists struct {
+	hub *watch.Hub
+	log *zap.Logger
+
+	mutex     sync.Mutex
+	version   fleetwire.ListVersion
+	list      []fleetwire.Instance
+	confirmed time.Time // when the platform last gave this list
+}
+
+func newLists(hub *watch.Hub, log *zap.Logger) *lists { return &lists{hub: hub, log: log} }
+
+// read takes what this controller has just read under a token. It reports whether that is a new version of the list.
+func (l *lists) read(now time.Time, token uint64, list []fleetwire.Instance) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if token < l.version.Token {
+		return false
+	}
+	if token == l.version.Token && instances.Same(l.list, list) {
+		l.confirm(now)
+		return false
+	}
+	sequence := uint64(1)
+	if token == l.version.Token {
+		sequence = l.version.Sequence + 1
+	}
+	l.publish(fleetwire.ListVersion{Token: token, Sequence: sequence}, list, now)
+	return true
+}
+
+// offer takes a list from another controller. It reports whether that is newer than the one held.
+func (l *lists) offer(now time.Time, message listMessage) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if !l.version.Less(message.Version) {
+		return false
+	}
+	l.publish(message.Version, message.Instances, now.Add(-milliseconds(message.AgeMs)))
+	return true
+}
+
+// told takes the age of the list that another controller holds. It reports whether that list is newer than the one here.
+func (l *lists) told(now time.Time, version fleetwire.ListVersion, ageMs int64) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if version == l.version && version != (fleetwire.ListVersion{}) {
+		l.confirm(now.Add(-milliseconds(ageMs)))
+	}
+	return l.version.Less(version)
+}
+
+func (l *lists) publish(version fleetwire.ListVersion, list []fleetwire.Instance, confirmed time.Time) {
+	l.version = version
+	l.list = list
+	l.confirmed = confirmed
+	if err := l.hub.PublishInstances(version, list); err != nil {
+		l.log.Error("the list of instances could not be published", zap.Error(err))
+	}
+	l.hub.ConfirmInstances(confirmed)
+}
+
+func (l *lists) confirm(at time.Time) {
+	if at.After(l.confirmed) {
+		l.confirmed = at
+		l.hub.ConfirmInstances(at)
+	}
+}
+
+// message returns the list to be passed on.
+func (l *lists) message(now time.Time) listMessage {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return listMessage{Version: l.version, AgeMs: now.Sub(l.confirmed).Milliseconds(), Instances: l.list}
+}
+
+// held returns the version and age of the list; the age is 0 without a list.
+func (l *lists) held(now time.Time) (fleetwire.ListVersion, int64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.version == (fleetwire.ListVersion{}) {
+		return l.version, 0
+	}
+	return l.version, now.Sub(l.confirmed).Milliseconds()
+}
+
+func milliseconds(count int64) time.Duration { return time.Duration(count) * time.Millisecond }
+
+// pushList sends the newest list to all other controllers at once. Those that it doesn't reach learn of it by the next
+// heartbeat and ask for it.
+func (c *controller) pushList(ctx context.Context) {
+	message := c.lists.message(time.Now())
+	for _, address := range c.roster.others(time.Now()) {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			_ = c.client.Call(ctx, address, fleetwire.PathInstances, message, &empty{})
+		}()
+	}
+}
+
+// fetchList asks another controller for its list, one call at a time.
+func (c *controller) fetchList(ctx context.Context, address string) {
+	if !c.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer c.fetching.Store(false)
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		var message listMessage
+		if err := c.client.Call(ctx, address, pathList, empty{}, &message); err == nil {
+			c.lists.offer(time.Now(), message)
+		}
+	}()
+}
+
+func (c *controller) serveInstances(_ context.Context, message listMessage) (empty, error) {
+	c.lists.offer(time.Now(), message)
+	return empty{}, nil
+}
+
+func (c *controller) serveList(context.Context, empty) (listMessage, error) {
+	return c.lists.message(time.Now()), nil
+}
+
+// listRead takes each reading of the poller.
+func (c *controller) listRead(ctx context.Context) func(token uint64, list []fleetwire.Instance) {
+	return func(token uint64, list []fleetwire.Instance) {
+		if c.lists.read(time.Now(), token, list) {
+			c.pushList(ctx)
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/operator.go
@@ -0,0 +1,192 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"weldscale/coordination/register"
+	"weldscale/internal/fleetconfig"
+)
+
+const (
+	pathReplace = "/config/replace"
+	pathRead    = "/config/read"
+
+	headerBase = "Base-Version"
+
+	maxConfigBytes = 4 << 20
+	// changeTimeout bounds the work for one change: within AckMs, and long enough to get over a replica that hangs.
+	changeTimeout = 3 * time.Second
+	// attemptTimeout bounds one try of a change or a read, so that the next one may find another quorum.
+	attemptTimeout = time.Second
+	readTimeout    = 2 * time.Second
+	// doubtPause separates the tries of a change whose outcome is not known.
+	doubtPause = 20 * time.Millisecond
+	// formingTimeout is how long a fresh fleet's first acknowledgement waits for the whole set of replicas, in all and per
+	// call.
+	formingTimeout     = 5 * time.Second
+	formingCallTimeout = 700 * time.Millisecond
+	formingPoll        = 25 * time.Millisecond
+)
+
+var errForming = eris.New("the set of replicas is not complete yet")
+
+// operatorAPI serves the operator's calls.
+type operatorAPI struct {
+	node    stateRegister
+	started time.Time
+	log     *zap.Logger
+}
+
+func newOperatorAPI(node stateRegister, log *zap.Logger) *operatorAPI {
+	return &operatorAPI{node: node, started: time.Now(), log: log}
+}
+
+func (a *operatorAPI) register(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+pathReplace, a.replace)
+	mux.HandleFunc("GET "+pathRead, a.read)
+}
+
+// replace takes a configuration.
+func (a *operatorAPI) replace(w http.ResponseWriter, r *http.Request) {
+	base, err := strconv.ParseInt(r.Header.Get(headerBase), 10, 64)
+	if err != nil || base < 0 {
+		refuse(w, http.StatusBadRequest, headerBase+" is not a version")
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxConfigBytes))
+	if err != nil {
+		refuse(w, bodyStatus(err), "the configuration could not be read whole")
+		return
+	}
+	config, err := fleetconfig.Parse(body)
+	if err != nil {
+		refuse(w, fleetconfig.StatusOf(err), err.Error())
+		return
+	}
+	// The change goes on when the operator leaves: sent again, it is known.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), changeTimeout)
+	defer cancel()
+	a.answer(w, a.take(ctx, newChange(base, config.Version, body)))
+}
+
+func bodyStatus(err error) int {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusBadRequest
+}
+
+// take has a change taken, or returns why it was not: a verdict, or an error that leaves the outcome open.
+func (a *operatorAPI) take(ctx context.Context, wanted change) error {
+	if err := a.waitForming(ctx); err != nil {
+		return err
+	}
+	doubtful := false
+	for {
+		err := a.try(ctx, wanted)
+		doubtful = doubtful || errors.Is(err, register.ErrInDoubt)
+		if err == nil || isVerdict(err) || !doubtful {
+			return err
+		}
+		if !pause(ctx, doubtPause) {
+			return err
+		}
+	}
+}
+
+func (a *operatorAPI) try(ctx context.Context, wanted change) error {
+	if !inTouch(a.node) {
+		return register.ErrNoQuorum
+	}
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	return update(ctx, a.node, func(state controlState) (controlState, error) { return applyChange(state, wanted) })
+}
+
+// isVerdict reports whether an error was found on a state that proves it.
+func isVerdict(err error) bool {
+	return errors.Is(err, errAlreadyTaken) || errors.Is(err, errOtherBase) || errors.Is(err, errNotAbove)
+}
+
+// waitForming holds a change back while a fresh fleet gathers its replicas: an acknowledgement must be able to outlive
+// the loss of some. It gives up for good after a while, since a replica may be missing from the start.
+func (a *operatorAPI) waitForming(ctx context.Context) error {
+	deadline := min(formingCallTimeout, formingTimeout-time.Since(a.started))
+	for begun := time.Now(); !a.node.Formed(); {
+		if time.Since(a.started) >= formingTimeout {
+			return nil
+		}
+		if time.Since(begun) >= deadline || !pause(ctx, formingPoll) {
+			return errForming
+		}
+	}
+	return nil
+}
+
+func (a *operatorAPI) answer(w http.ResponseWriter, err error) {
+	switch {
+	case err == nil || errors.Is(err, errAlreadyTaken):
+		w.WriteHeader(http.StatusOK)
+	case errors.Is(err, errOtherBase):
+		refuse(w, http.StatusPreconditionFailed, err.Error())
+	case errors.Is(err, errNotAbove):
+		refuse(w, http.StatusBadRequest, err.Error())
+	default:
+		a.log.Warn("a change is left without an answer", zap.String("cause", err.Error()))
+		refuse(w, http.StatusServiceUnavailable, "the outcome is not known here")
+	}
+}
+
+// read returns the newest configuration as it was sent.
+func (a *operatorAPI) read(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), readTimeout)
+	defer cancel()
+	state, err := a.readState(ctx)
+	switch {
+	case err != nil:
+		refuse(w, http.StatusServiceUnavailable, "no majority answers")
+	case state.Version == 0:
+		refuse(w, http.StatusNotFound, "there is no configuration")
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Content-Length", strconv.Itoa(len(state.Config)))
+		_, _ = w.Write(state.Config)
+	}
+}
+
+func (a *operatorAPI) readState(ctx context.Context) (controlState, error) {
+	for {
+		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+		current, err := a.node.Read(attempt)
+		cancel()
+		if err == nil {
+			return decodeState(current.Data)
+		}
+		if !inTouch(a.node) || !pause(ctx, doubtPause) {
+			return controlState{}, err
+		}
+	}
+}
+
+func refuse(w http.ResponseWriter, status int, text string) { http.Error(w, text, status) }
+
+// pause waits, and reports whether the context is still good.
+func pause(ctx context.Context, span time.Duration) bool {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/controller/run.go
@@ -0,0 +1,89 @@
+package controller
+
+import (
+	"context"
+	"net"
+	"path/filepath"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"weldscale/coordination/register"
+	"weldscale/coordination/transport"
+	"weldscale/internal/settings"
+)
+
+const (
+	// gcPercent keeps the heap small on a small machine.
+	gcPercent      = 50
+	headerTimeout  = 5 * time.Second
+	bodyTimeout    = 15 * time.Second // a large configuration over a narrow link
+	idleTimeout    = 60 * time.Second
+	maxHeaderBytes = 16 << 10
+	// releaseTimeout bounds the last heartbeats, which tell the others that this controller's roles are free.
+	releaseTimeout = 300 * time.Millisecond
+	// operatorGrace is how long calls of the operator that are in hand may go on after the end was asked for.
+	operatorGrace = 700 * time.Millisecond
+	internalGrace = 100 * time.Millisecond
+	// registerDirectory holds the register under the data directory.
+	registerDirectory = "register"
+)
+
+// Run runs a controller until ctx is done.
+func Run(ctx context.Context, current *settings.Settings, log *zap.Logger) error {
+	debug.SetGCPercent(gcPercent)
+	if err := current.CheckControl(); err != nil {
+		return eris.Wrap(err, "settings")
+	}
+	open, err := listen(current)
+	if err != nil {
+		return err
+	}
+	// The parts outlive ctx: calls in hand are answered and roles are given up first.
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	client := transport.NewClient()
+	defer client.Close()
+	var latest atomic.Pointer[settings.Settings]
+	latest.Store(current)
+	node, err := register.Open(registerOptions(&latest, client, log))
+	if err != nil {
+		return eris.Wrap(err, "open the register")
+	}
+	c := newController(running, &latest, node, client, log)
+	watcher := settings.NewWatcher(current, c.settingsChanged, log)
+	return c.serve(ctx, stop, open, node.Run, watcher.Run)
+}
+
+func listen(current *settings.Settings) (listeners, error) {
+	internal, err := net.Listen("tcp", current.InternalAddress())
+	if err != nil {
+		return listeners{}, eris.Wrap(err, "listen for the fleet")
+	}
+	control, err := net.Listen("tcp", current.Listen.Control)
+	if err != nil {
+		_ = internal.Close()
+		return listeners{}, eris.Wrap(err, "listen for the operator")
+	}
+	return listeners{internal: internal, control: control}, nil
+}
+
+func registerOptions(latest *atomic.Pointer[settings.Settings], client *transport.Client, log *zap.Logger) register.Options {
+	current := latest.Load()
+	return register.Options{
+		Directory:      filepath.Join(current.DataDir, registerDirectory),
+		Address:        current.InternalAddress(),
+		Founders:       current.SeedInternalAddresses(),
+		Bootstrap:      current.Bootstrap,
+		TargetReplicas: targetReplicas(current.FaultTolerance),
+		Seeds:          func() []string { return latest.Load().SeedInternalAddresses() },
+		Client:         client,
+		Log:            log,
+	}
+}
+
+// targetReplicas is the number of replicas of which a majority is left when as many as may be lost at once are.
+func targetReplicas(tolerance settings.FaultTolerance) int { return 2*max(tolerance.Machines, 1) + 1 }
--- /dev/null
+++ b/internal/controller/serve.go
@@ -0,0 +1,108 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"weldscale/coordination/lease"
+	"weldscale/coordination/transport"
+	"weldscale/internal/fleetwire"
+)
+
+// servers are the two HTTP servers of a controller.
+type servers struct {
+	internal *http.Server // register, leases, watchers
+	control  *http.Server // the operator
+	failed   chan error
+}
+
+// listeners are the sockets of the two servers.
+type listeners struct {
+	internal net.Listener
+	control  net.Listener
+}
+
+// serve runs the controller until ctx is done, and then gives its roles up, answers what is in hand and returns. Running
+// is the context of all its parts, which ends with the call of stop.
+func (c *controller) serve(ctx context.Context, stop func(), open listeners, parts ...func(context.Context)) error {
+	serving := c.startServers(open)
+	var working sync.WaitGroup
+	for _, part := range append(parts, c.followRegister, c.beat, c.poller.Run) {
+		working.Go(func() { part(c.ctx) })
+	}
+	c.log.Info("controller serves", zap.String("internal", c.self.Address), zap.String("life", c.self.Life))
+	var failure error
+	select {
+	case <-ctx.Done():
+		c.leave()
+	case failure = <-serving.failed:
+	}
+	serving.shutdown()
+	stop()
+	working.Wait()
+	return eris.Wrap(failure, "serve")
+}
+
+func (c *controller) startServers(open listeners) *servers {
+	operator := http.NewServeMux()
+	c.operator.register(operator)
+	serving := &servers{
+		internal: newServer(c.internalHandler()),
+		control:  newServer(operator),
+		failed:   make(chan error, 2),
+	}
+	go func() { serving.failed <- serving.internal.Serve(open.internal) }()
+	go func() { serving.failed <- serving.control.Serve(open.control) }()
+	return serving
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+func (c *controller) internalHandler() http.Handler {
+	mux := http.NewServeMux()
+	c.node.Register(mux)
+	c.hub.Register(mux)
+	mux.Handle("POST "+pathHeartbeat, transport.Handle(c.serveHeartbeat))
+	mux.Handle("POST "+pathList, transport.Handle(c.serveList))
+	mux.Handle("POST "+fleetwire.PathInstances, transport.Handle(c.serveInstances))
+	mux.Handle("POST "+fleetwire.PathStatus, transport.Handle(c.serveStatus))
+	return mux
+}
+
+// leave gives up the roles, tells the other controllers, and ends the polls of the watchers.
+func (c *controller) leave() {
+	c.leases.with(func(decider *lease.Decider, _ time.Duration) { decider.Release() })
+	c.hub.Close()
+	ctx, cancel := context.WithTimeout(c.ctx, releaseTimeout)
+	defer cancel()
+	c.sendHeartbeats(ctx, true).Wait()
+}
+
+// shutdown answers the operator's calls in hand, for which the register must still be reached, and closes.
+func (s *servers) shutdown() {
+	end(s.control, operatorGrace)
+	end(s.internal, internalGrace)
+}
+
+func end(server *http.Server, grace time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	if err := server.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
+		_ = server.Close()
+	}
+}
--- /dev/null
+++ b/internal/controller/status.go
@@ -0,0 +1,55 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"weldscale/coordination/lease"
+	"weldscale/internal/fleetwire"
+)
+
+func (c *controller) serveStatus(context.Context, empty) (status, error) {
+	now := time.Now()
+	latest := c.node.Latest()
+	state, err := decodeState(latest.Data)
+	if err != nil {
+		return status{}, err
+	}
+	list := c.lists.message(now)
+	return status{
+		Member:      c.member(),
+		Revision:    latest.Revision,
+		Version:     state.Version,
+		Changes:     state.Changes,
+		Replicas:    replicaAddresses(latest),
+		Live:        c.leases.live(),
+		Roles:       state.Roles,
+		Held:        c.heldRoles(),
+		List:        list.Version,
+		Instances:   len(list.Instances),
+		ListAgeMs:   list.AgeMs,
+		QuorumAgeMs: c.node.QuorumAge().Milliseconds(),
+		Routers:     c.census.count(now),
+	}, nil
+}
+
+func (c *controller) heldRoles() []string {
+	var held []string
+	c.leases.with(func(decider *lease.Decider, now time.Duration) {
+		if _, ok := decider.Holds(now, roleReader); ok {
+			held = append(held, roleReader)
+		}
+	})
+	return held
+}
+
+func (c *controller) member() fleetwire.Member {
+	current := c.settings.Load()
+	return fleetwire.Member{
+		Name:    current.NodeName,
+		Address: c.self.Address,
+		Role:    fleetwire.RoleController,
+		Zone:    current.Zone,
+		Region:  current.Region,
+	}
+}
