A replicated compare-and-swap register and a store with a file for each version

The configuration needs a home that survives the loss of machines and disks. The register is CASPaxos: prepare and accept on a majority, no log, no leader; the value carries its replicas, and a change of them goes through a joint set. Replicas are known by the identity of their disk, so a wiped one joins anew.

go test -race ./coordination/register: ok in 4.0 s, loopback tests only so far.

--- /dev/null
+++ b/coordination/register/acceptor.go
@@ -0,0 +1,101 @@
+package register
+
+// Write is what an acceptor needs to have on its disk before it answers. One of its fields is set. Each is a record of its
+// own: a later promise does not write the value again.
+type Write struct {
+	Promised *Ballot
+	Accepted *Accepted
+}
+
+// Step is a request that an acceptor has begun. If Write is nil, Reply is the answer; otherwise Finish or Abandon gives it.
+type Step struct {
+	Write *Write
+	Reply Reply
+
+	request Request
+}
+
+// Acceptor holds the promises and the accepted value of one identity. It is pure, and it holds only what is durable.
+type Acceptor struct {
+	self     Replica
+	promised Ballot
+	accepted Accepted
+	open     bool // a step with a write has begun
+}
+
+// NewAcceptor returns an acceptor with what was found on its disk. Without an accepted value it is that of a newcomer.
+func NewAcceptor(self Replica, promised Ballot, accepted Accepted) *Acceptor {
+	if promised.Less(accepted.Ballot) {
+		promised = accepted.Ballot // accepting implies the promise
+	}
+	return &Acceptor{self: self, promised: promised, accepted: accepted}
+}
+
+// Self returns the identity and address.
+func (a *Acceptor) Self() Replica { return a.self }
+
+// Accepted returns what is accepted and durable. Its value must not be changed.
+func (a *Acceptor) Accepted() Accepted { return a.accepted }
+
+// Begin takes a query, a prepare or an accept. Only one step with a write can be open at a time; others are refused as busy.
+func (a *Acceptor) Begin(request Request) Step {
+	switch {
+	case request.Kind == Query && (request.To == "" || request.To == a.self.ID):
+		return Step{Reply: a.answer(request)}
+	case request.To != a.self.ID:
+		return Step{Reply: a.refuse(request, OtherIdentity)}
+	case request.Ballot.Less(a.promised):
+		return Step{Reply: a.refuse(request, Superseded)}
+	case a.open:
+		return Step{Reply: a.refuse(request, Busy)}
+	case request.Kind == Prepare && request.Ballot != a.promised:
+		a.open = true
+		return Step{Write: &Write{Promised: &request.Ballot}, request: request}
+	case request.Kind == Accept && request.Ballot != a.accepted.Ballot:
+		a.open = true
+		accepted := &Accepted{Ballot: request.Ballot, Value: *request.Value}
+		return Step{Write: &Write{Accepted: accepted}, request: request}
+	}
+	return Step{Reply: a.answer(request)} // asked before: the promise or value is on the disk
+}
+
+// Finish takes a step whose write is durable and returns its answer.
+func (a *Acceptor) Finish(step Step) Reply {
+	a.open = false
+	if step.Write.Accepted != nil {
+		a.accepted = *step.Write.Accepted
+		a.promised = a.accepted.Ballot
+	} else {
+		a.promised = *step.Write.Promised
+	}
+	return a.answer(step.request)
+}
+
+// Abandon takes a step whose write failed and returns its answer.
+func (a *Acceptor) Abandon(step Step, refusal Refusal) Reply {
+	a.open = false
+	return a.refuse(step.request, refusal)
+}
+
+func (a *Acceptor) answer(request Request) Reply {
+	reply := Reply{
+		Kind:     request.Kind,
+		Ballot:   request.Ballot,
+		From:     a.self,
+		Promised: a.promised,
+		Accepted: a.accepted.Ballot,
+		Revision: a.accepted.Value.Revision,
+	}
+	wanted := request.Kind == Prepare || request.Kind == Query && request.WantValue
+	if wanted && request.Known.Less(a.accepted.Ballot) {
+		value := a.accepted.Value
+		reply.Value = &value
+	}
+	return reply
+}
+
+func (a *Acceptor) refuse(request Request, refusal Refusal) Reply {
+	reply := a.answer(Request{Kind: request.Kind, Ballot: request.Ballot, Known: a.accepted.Ballot})
+	reply.Refusal = refusal
+	return reply
+}
--- /dev/null
+++ b/coordination/register/exchange.go
@@ -0,0 +1,64 @@
+package register
+
+import (
+	"context"
+	"time"
+)
+
+// exchange sends the messages of one operation and gathers the replies. It does not hold up whoever answers after its end:
+// calls go on until their own time-out, so that slow replicas get what the others have decided.
+type exchange struct {
+	node        *Node
+	arrived     chan Reply
+	closed      chan struct{}
+	outstanding int // calls without a reply; kept by the driver
+}
+
+func newExchange(node *Node) *exchange {
+	return &exchange{node: node, arrived: make(chan Reply), closed: make(chan struct{})}
+}
+
+func (e *exchange) close() { close(e.closed) }
+
+func (e *exchange) send(messages []Message, timeout time.Duration) {
+	for _, message := range messages {
+		if message.Request.Kind == Commit && message.To.ID == e.node.ID() {
+			continue // the driver has learnt it
+		}
+		e.outstanding++
+		go e.call(message, timeout)
+	}
+}
+
+func (e *exchange) call(message Message, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	reply := e.node.call(ctx, message)
+	select {
+	case e.arrived <- reply:
+	case <-e.closed:
+	}
+}
+
+// call carries a message to a replica, which may be this process itself. A call that fails is a refusal as Unreachable.
+func (n *Node) call(ctx context.Context, message Message) Reply {
+	request := message.Request
+	if message.To.Address == n.options.Address {
+		reply := n.answer(ctx, request)
+		if reply.Refusal == OtherIdentity {
+			reply.From = message.To // an identity that this disk has lost
+		}
+		return reply
+	}
+	sent := time.Now()
+	var reply Reply
+	if err := n.options.Client.Call(ctx, message.To.Address, PathMessage, &request, &reply); err != nil {
+		n.missed(message.To.Address)
+		return Reply{Kind: request.Kind, Ballot: request.Ballot, From: message.To, Refusal: Unreachable}
+	}
+	n.heard(message.To.Address, sent, &reply)
+	if reply.Refusal == OtherIdentity {
+		reply.From = message.To // the one that was meant does not live there any more
+	}
+	return reply
+}
--- /dev/null
+++ b/coordination/register/node.go
@@ -0,0 +1,188 @@
+package register
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/samber/lo"
+)
+
+// State is a chosen value, as the users of the register see it. It must not be changed.
+type State struct {
+	Revision uint64 // grows by one with each write, also of the set; 0 is the state before the first
+	// DataRevision is the revision of the write that last changed Data; 0 if none did.
+	DataRevision uint64
+	Replicas     []Replica
+	Data         []byte
+}
+
+// Node is a process's share in the register: a replica, or a newcomer on its way to be one, and a proposer.
+type Node struct {
+	options Options
+	disk    durable
+	writing chan struct{} // holds a token while the disk is in use
+	turn    chan struct{} // holds a token while an own operation runs: a node does not compete with itself
+	ballots *Ballots
+	started time.Time
+	nudge   chan struct{} // wakes the upkeep before its next tick
+
+	mu       sync.Mutex
+	acceptor *Acceptor // nil until the disk has an identity
+	waiting  int       // requests that wait for the disk
+	chosen   Accepted  // newest value known to be chosen; ballot zero if none
+	changed  chan struct{}
+	peers    map[string]*peer // by address
+	leaving  bool
+}
+
+// Open reads the disk. The node answers once it is mounted by Register, and takes part in the set while Run runs.
+func Open(options Options) (*Node, error) {
+	options = options.withDefaults()
+	disk, err := openDurable(options.Directory)
+	if err != nil {
+		return nil, err
+	}
+	acceptor, err := disk.load(options.Address)
+	if err != nil {
+		return nil, eris.Wrap(err, "read the disk")
+	}
+	n := &Node{
+		options:  options,
+		disk:     disk,
+		writing:  make(chan struct{}, 1),
+		turn:     make(chan struct{}, 1),
+		ballots:  NewBallots(randomNumber()),
+		started:  time.Now(),
+		nudge:    make(chan struct{}, 1),
+		acceptor: acceptor,
+		changed:  make(chan struct{}),
+		peers:    map[string]*peer{},
+	}
+	if acceptor == nil {
+		n.markDisk() // if it fails, Run tries again
+	}
+	n.learnGenesis()
+	return n, nil
+}
+
+func randomNumber() uint64 {
+	var bytes [8]byte
+	_, _ = rand.Read(bytes[:]) // never fails
+	return binary.BigEndian.Uint64(bytes[:])
+}
+
+// markDisk gives an empty disk its identity and reports whether the disk has one now.
+func (n *Node) markDisk() bool {
+	if n.ID() != "" {
+		return true
+	}
+	mark := identity{ID: randomID()}
+	if n.options.Bootstrap && slices.Contains(n.options.Founders, n.options.Address) {
+		mark.ID = FounderID(n.options.Address)
+		mark.Founders = lo.Map(n.options.Founders, func(address string, _ int) Replica {
+			return Replica{ID: FounderID(address), Address: address}
+		})
+	}
+	n.writing <- struct{}{}
+	acceptor, err := n.disk.mark(mark, n.options.Address)
+	<-n.writing
+	if err != nil {
+		return false
+	}
+	n.mu.Lock()
+	n.acceptor = acceptor
+	n.mu.Unlock()
+	return true
+}
+
+// learnGenesis learns the founders' first state, which is chosen by definition.
+func (n *Node) learnGenesis() {
+	if known, _ := n.known(); known.Ballot == genesisBallot {
+		n.learnChosen(known)
+	}
+}
+
+// ID returns the identity of the disk, empty while it has none.
+func (n *Node) ID() string { return n.self().ID }
+
+func (n *Node) self() Replica {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.acceptor == nil {
+		return Replica{Address: n.options.Address}
+	}
+	return n.acceptor.Self()
+}
+
+// Latest returns the newest state known to be chosen. It never goes back.
+func (n *Node) Latest() State {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return stateOf(&n.chosen.Value)
+}
+
+func stateOf(value *Value) State {
+	return State{Revision: value.Revision, DataRevision: value.DataRevision, Replicas: value.Replicas, Data: value.Data}
+}
+
+// Changed returns a channel that is closed when Latest moves on.
+func (n *Node) Changed() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.changed
+}
+
+// learnChosen takes a value that is chosen.
+func (n *Node) learnChosen(chosen Accepted) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.chosen.Ballot.Less(chosen.Ballot) {
+		return
+	}
+	moved := n.chosen.Value.Revision < chosen.Value.Revision || n.chosen.Ballot == (Ballot{})
+	n.chosen = chosen
+	n.ballots.Saw(chosen.Ballot)
+	if moved {
+		close(n.changed)
+		n.changed = make(chan struct{})
+	}
+}
+
+// known returns the highest value that this process has, and the highest ballot that it knows to be chosen.
+func (n *Node) known() (Accepted, Ballot) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	known := n.chosen
+	if n.acceptor != nil && known.Ballot.Less(n.acceptor.Accepted().Ballot) {
+		known = n.acceptor.Accepted()
+	}
+	return known, n.chosen.Ballot
+}
+
+// Formed reports whether the set has reached its wanted size.
+func (n *Node) Formed() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	value := &n.chosen.Value
+	return len(value.Replicas) >= n.options.TargetReplicas && !value.Joint()
+}
+
+// WaitFormed waits until the set has reached its wanted size. If ctx is done before, it returns ErrNotFormed.
+func (n *Node) WaitFormed(ctx context.Context) error {
+	for {
+		changed := n.Changed()
+		if n.Formed() {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return eris.Wrap(ErrNotFormed, ctx.Err().Error())
+		}
+	}
+}
--- /dev/null
+++ b/coordination/register/node_test.go
@@ -0,0 +1,403 @@
+package register
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/stretchr/testify/require"
+
+	"weldscale/coordination/store"
+	"weldscale/coordination/transport"
+)
+
+const testDeadline = 20 * time.Second
+
+// machine is a process on loopback with a disk that outlives it.
+type machine struct {
+	t       *testing.T
+	folder  string
+	address string
+	options Options
+
+	node   *Node
+	server *http.Server
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+func listen(t *testing.T, address string) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
+	require.NoError(t, err)
+	return listener
+}
+
+// newMachines reserves addresses and returns machines that are not started. The first ones, as many as there are
+// founders, found the register.
+func newMachines(t *testing.T, count, founders, target int) []*machine {
+	t.Helper()
+	machines := make([]*machine, count)
+	var seeds []string
+	var listeners []net.Listener
+	for at := range machines {
+		listener := listen(t, "127.0.0.1:0")
+		listeners = append(listeners, listener)
+		machines[at] = &machine{t: t, folder: t.TempDir(), address: listener.Addr().String()}
+		if at < founders {
+			seeds = append(seeds, machines[at].address)
+		}
+	}
+	for at, m := range machines {
+		_ = listeners[at].Close()
+		m.options = Options{
+			Directory: m.folder, Address: m.address, Founders: seeds, Bootstrap: true, TargetReplicas: target,
+			Seeds:        func() []string { return seeds },
+			RoundTimeout: 400 * time.Millisecond, Heartbeat: 50 * time.Millisecond, RemoveAfter: 200 * time.Millisecond,
+		}
+		t.Cleanup(m.stop)
+	}
+	return machines
+}
+
+func (m *machine) start() {
+	m.t.Helper()
+	listener := listen(m.t, m.address)
+	m.options.Client = transport.NewClient()
+	node, err := Open(m.options)
+	require.NoError(m.t, err)
+	mux := http.NewServeMux()
+	node.Register(mux)
+	m.node = node
+	m.server = &http.Server{Handler: mux, ReadHeaderTimeout: testDeadline}
+	go func() { _ = m.server.Serve(listener) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	m.cancel, m.ended = cancel, ended
+	go func() {
+		defer close(ended)
+		node.Run(ctx)
+	}()
+}
+
+// stop ends the process as a kill does, as far as others see.
+func (m *machine) stop() {
+	if m.cancel == nil {
+		return
+	}
+	m.cancel()
+	_ = m.server.Close()
+	<-m.ended
+	m.options.Client.Close()
+	m.cancel = nil
+	m.options.Bootstrap = false
+}
+
+// wipe empties the disk of a stopped machine.
+func (m *machine) wipe() {
+	m.t.Helper()
+	require.NoError(m.t, os.RemoveAll(m.folder))
+	require.NoError(m.t, os.Mkdir(m.folder, 0o700))
+}
+
+func deadline(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), testDeadline)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// await waits until what a node knows fulfils a condition.
+func await(t *testing.T, n *Node, condition func(State) bool) State {
+	t.Helper()
+	ctx := deadline(t)
+	for {
+		changed := n.Changed()
+		if state := n.Latest(); condition(state) {
+			return state
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			require.FailNow(t, "too late", "latest: %+v", n.Latest())
+		}
+	}
+}
+
+func set(text string) func([]byte) ([]byte, error) {
+	return func([]byte) ([]byte, error) { return []byte(text), nil }
+}
+
+func appendText(text string) func([]byte) ([]byte, error) {
+	return func(data []byte) ([]byte, error) { return fmt.Appendf(nil, "%s%s", data, text), nil }
+}
+
+func hasIDs(ids ...string) func(State) bool {
+	return func(state State) bool {
+		if len(state.Replicas) != len(ids) {
+			return false
+		}
+		have := map[string]bool{}
+		for _, replica := range state.Replicas {
+			have[replica.ID] = true
+		}
+		for _, id := range ids {
+			if !have[id] {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func startAll(machines []*machine) {
+	for _, m := range machines {
+		m.start()
+	}
+}
+
+func TestUpdateReadAndLearn(t *testing.T) {
+	machines := newMachines(t, 3, 3, 3)
+	startAll(machines)
+	ctx := deadline(t)
+	require.NoError(t, machines[0].node.WaitFormed(ctx))
+	state, err := machines[0].node.Update(ctx, set("one"))
+	require.NoError(t, err)
+	require.Equal(t, "one", string(state.Data))
+	require.EqualValues(t, 1, state.Revision)
+	require.EqualValues(t, 1, state.DataRevision)
+	for _, m := range machines {
+		read, err := m.node.Read(ctx)
+		require.NoError(t, err)
+		require.Equal(t, "one", string(read.Data))
+		await(t, m.node, func(s State) bool { return s.Revision == 1 })
+	}
+	refused := eris.New("refused")
+	_, err = machines[1].node.Update(ctx, func([]byte) ([]byte, error) { return nil, refused })
+	require.ErrorIs(t, err, refused)
+	same, err := machines[1].node.Update(ctx, func(data []byte) ([]byte, error) { return data, nil })
+	require.NoError(t, err)
+	require.EqualValues(t, 1, same.Revision)
+}
+
+func TestConcurrentUpdatesAllCount(t *testing.T) {
+	machines := newMachines(t, 3, 3, 3)
+	startAll(machines)
+	ctx := deadline(t)
+	const each = 5
+	var group sync.WaitGroup
+	for _, m := range machines {
+		group.Go(func() {
+			for range each {
+				_, err := m.node.Update(ctx, appendText("x"))
+				require.NoError(t, err)
+			}
+		})
+	}
+	group.Wait()
+	state, err := machines[2].node.Read(ctx)
+	require.NoError(t, err)
+	// An update that was in doubt may count twice, since this change does not recognise its own work.
+	require.GreaterOrEqual(t, len(state.Data), each*len(machines))
+}
+
+func TestMinorityNeitherWritesNorReads(t *testing.T) {
+	machines := newMachines(t, 3, 3, 3)
+	startAll(machines)
+	ctx := deadline(t)
+	_, err := machines[0].node.Update(ctx, set("one"))
+	require.NoError(t, err)
+	machines[1].stop()
+	_, err = machines[0].node.Update(ctx, set("two"))
+	require.NoError(t, err)
+	machines[2].stop()
+	short, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+	defer cancel()
+	_, err = machines[0].node.Update(short, set("three"))
+	require.ErrorIs(t, err, ErrNoQuorum)
+	_, err = machines[0].node.Read(short)
+	require.ErrorIs(t, err, ErrNoQuorum)
+	machines[1].start()
+	state, err := machines[1].node.Read(ctx)
+	require.NoError(t, err)
+	require.Equal(t, "two", string(state.Data))
+}
+
+func TestAllRestartFromDisk(t *testing.T) {
+	machines := newMachines(t, 3, 3, 3)
+	startAll(machines)
+	ctx := deadline(t)
+	_, err := machines[0].node.Update(ctx, set("one"))
+	require.NoError(t, err)
+	for _, m := range machines {
+		m.stop()
+	}
+	startAll(machines)
+	for _, m := range machines {
+		await(t, m.node, func(s State) bool { return string(s.Data) == "one" })
+		require.Equal(t, FounderID(m.address), m.node.ID())
+	}
+}
+
+func TestWipedReplicaJoinsAnewAndCarriesTheNextLoss(t *testing.T) {
+	machines := newMachines(t, 3, 3, 3)
+	startAll(machines)
+	ctx := deadline(t)
+	for round := range 3 {
+		text := fmt.Sprintf("round %d", round)
+		_, err := machines[round].node.Update(ctx, set(text))
+		require.NoError(t, err)
+		lost := machines[round]
+		former := lost.node.ID()
+		lost.stop()
+		lost.wipe()
+		lost.start()
+		require.NotEqual(t, former, lost.node.ID())
+		ids := []string{machines[0].node.ID(), machines[1].node.ID(), machines[2].node.ID()}
+		for _, m := range machines {
+			state := await(t, m.node, hasIDs(ids...))
+			require.Equal(t, text, string(state.Data))
+			require.NoError(t, m.node.WaitFormed(ctx))
+		}
+	}
+}
+
+func TestReplacementAtANewAddress(t *testing.T) {
+	machines := newMachines(t, 4, 3, 3)
+	startAll(machines[:3])
+	ctx := deadline(t)
+	_, err := machines[0].node.Update(ctx, set("one"))
+	require.NoError(t, err)
+	machines[2].stop()
+	machines[3].options.Bootstrap = false
+	machines[3].start()
+	wanted := hasIDs(machines[0].node.ID(), machines[1].node.ID(), machines[3].node.ID())
+	await(t, machines[3].node, wanted)
+	require.NoError(t, machines[3].node.WaitFormed(ctx))
+	machines[0].stop()
+	state, err := machines[3].node.Update(ctx, appendText(", two"))
+	require.NoError(t, err)
+	require.Equal(t, "one, two", string(state.Data))
+}
+
+func TestPlannedReplacement(t *testing.T) {
+	machines := newMachines(t, 4, 3, 3)
+	startAll(machines)
+	ctx := deadline(t)
+	all := hasIDs(machines[0].node.ID(), machines[1].node.ID(), machines[2].node.ID(), machines[3].node.ID())
+	await(t, machines[0].node, all)
+	require.NoError(t, machines[0].node.WaitFormed(ctx))
+	require.NoError(t, machines[0].node.Leave(ctx))
+	machines[0].stop()
+	three := hasIDs(machines[1].node.ID(), machines[2].node.ID(), machines[3].node.ID())
+	await(t, machines[3].node, three)
+	require.NoError(t, machines[3].node.WaitFormed(ctx))
+	require.NoError(t, machines[3].node.Leave(ctx)) // the set is never smaller than wanted
+	require.True(t, three(machines[3].node.Latest()))
+}
+
+func TestSilentReplicaIsRemovedFromALargeSetAndComesBack(t *testing.T) {
+	machines := newMachines(t, 4, 3, 3)
+	startAll(machines)
+	all := hasIDs(machines[0].node.ID(), machines[1].node.ID(), machines[2].node.ID(), machines[3].node.ID())
+	await(t, machines[1].node, all)
+	machines[0].stop()
+	await(t, machines[1].node, hasIDs(machines[1].node.ID(), machines[2].node.ID(), machines[3].node.ID()))
+	machines[0].start()
+	await(t, machines[0].node, all)
+}
+
+func TestFoundersGrowToTheTarget(t *testing.T) {
+	machines := newMachines(t, 5, 3, 5)
+	startAll(machines)
+	ctx := deadline(t)
+	for _, m := range machines {
+		require.NoError(t, m.node.WaitFormed(ctx))
+	}
+	_, err := machines[4].node.Update(ctx, set("one"))
+	require.NoError(t, err)
+	for _, lost := range machines[:2] {
+		lost.stop()
+	}
+	state, err := machines[3].node.Read(ctx)
+	require.NoError(t, err)
+	require.Equal(t, "one", string(state.Data))
+}
+
+// fullStore refuses while its flag is set, as a full disk does.
+type fullStore struct {
+	store.Store
+	mu   sync.Mutex
+	full bool
+}
+
+func (s *fullStore) set(full bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.full = full
+}
+
+func (s *fullStore) Save(data []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.full {
+		return eris.Wrap(store.ErrFull, "test")
+	}
+	return s.Store.Save(data)
+}
+
+func TestFullDiskRefusesAndRecovers(t *testing.T) {
+	machines := newMachines(t, 3, 3, 3)
+	startAll(machines)
+	ctx := deadline(t)
+	require.NoError(t, machines[0].node.WaitFormed(ctx))
+	var disks []*fullStore
+	for _, m := range machines[:2] {
+		promise := &fullStore{Store: m.node.disk.promise}
+		value := &fullStore{Store: m.node.disk.value}
+		m.node.writing <- struct{}{}
+		m.node.disk.promise, m.node.disk.value = promise, value
+		<-m.node.writing
+		disks = append(disks, promise, value)
+	}
+	disks[0].set(true)
+	disks[1].set(true)
+	_, err := machines[0].node.Update(ctx, set("one full"))
+	require.NoError(t, err)
+	disks[2].set(true)
+	disks[3].set(true)
+	short, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+	defer cancel()
+	_, err = machines[0].node.Update(short, set("two full"))
+	require.ErrorIs(t, err, ErrNoQuorum)
+	state, err := machines[0].node.Read(ctx) // reads need no disk
+	require.NoError(t, err)
+	require.Equal(t, "one full", string(state.Data))
+	for _, disk := range disks {
+		disk.set(false)
+	}
+	_, err = machines[0].node.Update(ctx, set("room again"))
+	require.NoError(t, err)
+}
+
+func TestEmptyDiskWithoutBootstrapIsANewcomer(t *testing.T) {
+	folder := t.TempDir()
+	options := Options{Directory: folder, Address: "127.0.0.1:1", Founders: []string{"127.0.0.1:1"}}
+	node, err := Open(options)
+	require.NoError(t, err)
+	require.NotEqual(t, FounderID(options.Address), node.ID())
+	options.Bootstrap = true // what is on disk goes before it
+	again, err := Open(options)
+	require.NoError(t, err)
+	require.Equal(t, node.ID(), again.ID())
+	files, err := filepath.Glob(filepath.Join(folder, "identity.*"))
+	require.NoError(t, err)
+	require.Len(t, files, 1)
+}
--- /dev/null
+++ b/coordination/register/peers.go
@@ -0,0 +1,237 @@
+package register
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+const (
+	heartbeatTimeout = 600 * time.Millisecond
+	learnTimeout     = 1500 * time.Millisecond
+	// missesForSilence is the number of calls in a row without an answer that make a replica silent, however long they
+	// took: a process that was frozen finds all its calls timed out once.
+	missesForSilence = 3
+)
+
+// peer is what a node knows of the process at an address.
+type peer struct {
+	id          string    // the identity that last answered there
+	answered    time.Time // when the last question that it answered was sent
+	accepted    Ballot
+	missed      int       // calls in a row without an answer
+	missedSince time.Time // when the first of them ended
+	asking      bool      // a heartbeat is under way
+	fetching    bool      // a fetch of the chosen value is under way
+}
+
+// peerAt needs the lock.
+func (n *Node) peerAt(address string) *peer {
+	p := n.peers[address]
+	if p == nil {
+		p = &peer{}
+		n.peers[address] = p
+	}
+	return p
+}
+
+// heard takes note of an answer.
+func (n *Node) heard(address string, sent time.Time, reply *Reply) {
+	n.ballots.Saw(reply.Promised)
+	n.mu.Lock()
+	p := n.peerAt(address)
+	p.id = reply.From.ID
+	p.missed = 0
+	if p.answered.Before(sent) {
+		p.answered = sent
+	}
+	if reply.Refusal == Agreed && reply.Kind != Learn && reply.Kind != Commit {
+		p.accepted = reply.Accepted
+	}
+	n.mu.Unlock()
+	if !n.confirm(reply.Chosen) && reply.Kind != Learn {
+		n.fetchChosen(reply.Chosen, address)
+	}
+}
+
+// missed takes note of a call without an answer.
+func (n *Node) missed(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := n.peerAt(address)
+	if p.missed == 0 {
+		p.missedSince = time.Now()
+	}
+	p.missed++
+}
+
+// heardOf takes note of who asks.
+func (n *Node) heardOf(from Replica) {
+	if from.Address == "" || from.Address == n.options.Address {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.peerAt(from.Address)
+}
+
+// silence returns how long a replica has been silent, and zero if it isn't. One that this process has never heard is
+// silent from the first call that failed. It needs the lock.
+func (n *Node) silence(replica Replica, now time.Time) time.Duration {
+	if replica.Address == n.options.Address {
+		return 0
+	}
+	p := n.peers[replica.Address]
+	if p == nil || p.missed == 0 || p.missed < missesForSilence && !p.answered.IsZero() {
+		return 0
+	}
+	return max(1, now.Sub(p.missedSince))
+}
+
+// QuorumAge returns how long ago a majority of the set was last heard: the age of the question that its answers answered.
+func (n *Node) QuorumAge() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	known := n.chosen.Value
+	if n.acceptor != nil && len(known.Replicas) == 0 {
+		known = n.acceptor.Accepted().Value
+	}
+	age := n.majorityAge(known.Replicas, now)
+	if known.Joint() {
+		age = max(age, n.majorityAge(known.Previous, now))
+	}
+	return age
+}
+
+func (n *Node) majorityAge(replicas []Replica, now time.Time) time.Duration {
+	if len(replicas) == 0 {
+		return now.Sub(n.started)
+	}
+	ages := lo.Map(replicas, func(replica Replica, _ int) time.Duration { return n.age(replica, now) })
+	slices.SortFunc(ages, cmp.Compare[time.Duration])
+	return ages[len(ages)/2] // the last one of the smallest majority
+}
+
+func (n *Node) age(replica Replica, now time.Time) time.Duration {
+	if n.acceptor != nil && replica.ID == n.acceptor.Self().ID {
+		return 0
+	}
+	p := n.peers[replica.Address]
+	if p == nil || p.id != replica.ID || p.answered.IsZero() {
+		return now.Sub(n.started)
+	}
+	return now.Sub(p.answered)
+}
+
+// heartbeat asks everyone who matters for ballots, without waiting for the answers.
+func (n *Node) heartbeat() {
+	known, _ := n.known()
+	addresses := lo.Map(known.Value.Members(), func(r Replica, _ int) string { return r.Address })
+	if len(addresses) == 0 || !known.Value.Has(n.ID()) {
+		addresses = append(addresses, n.options.Seeds()...)
+		addresses = append(addresses, n.strangers()...)
+	}
+	for _, address := range lo.Uniq(addresses) {
+		if address != n.options.Address && n.beginAsking(address) {
+			go n.ask(address)
+		}
+	}
+}
+
+// strangers returns who asked this node. While it knows no set, they may.
+func (n *Node) strangers() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.chosen.Ballot != (Ballot{}) {
+		return nil
+	}
+	return lo.Keys(n.peers)
+}
+
+func (n *Node) beginAsking(address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := n.peerAt(address)
+	if p.asking {
+		return false
+	}
+	p.asking = true
+	return true
+}
+
+func (n *Node) ask(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
+	defer cancel()
+	n.call(ctx, Message{To: Replica{Address: address}, Request: Request{Kind: Query, From: n.self()}})
+	n.mu.Lock()
+	n.peerAt(address).asking = false
+	n.mu.Unlock()
+	n.confirmByMajority()
+}
+
+// confirmByMajority learns that the own accepted value is chosen, if a majority has last told the same ballot.
+func (n *Node) confirmByMajority() {
+	n.mu.Lock()
+	var accepted Accepted
+	if n.acceptor != nil {
+		accepted = n.acceptor.Accepted()
+	}
+	agreed := n.chosen.Ballot.Less(accepted.Ballot) && accepted.Value.quorum(func(id string) bool {
+		return id == n.acceptor.Self().ID || n.holds(id, accepted)
+	})
+	n.mu.Unlock()
+	if agreed {
+		n.learnChosen(accepted)
+	}
+}
+
+// holds needs the lock.
+func (n *Node) holds(id string, accepted Accepted) bool {
+	for _, replica := range accepted.Value.Members() {
+		p := n.peers[replica.Address]
+		if replica.ID == id && p != nil && p.id == id && p.accepted == accepted.Ballot {
+			return true
+		}
+	}
+	return false
+}
+
+// fetchChosen asks the process at an address for the value chosen under a ballot, unless it is being asked.
+func (n *Node) fetchChosen(ballot Ballot, address string) {
+	n.mu.Lock()
+	p := n.peerAt(address)
+	needed := n.chosen.Ballot.Less(ballot) && !p.fetching && address != "" && address != n.options.Address
+	if needed {
+		p.fetching = true
+	}
+	n.mu.Unlock()
+	if needed {
+		go n.fetch(address)
+	}
+}
+
+func (n *Node) fetch(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), learnTimeout)
+	defer cancel()
+	_, chosen := n.known()
+	request := Request{Kind: Learn, From: n.self(), Known: chosen}
+	reply := n.call(ctx, Message{To: Replica{Address: address}, Request: request})
+	n.mu.Lock()
+	n.peerAt(address).fetching = false
+	n.mu.Unlock()
+	if reply.Refusal == Agreed && reply.Value != nil {
+		n.learnChosen(Accepted{Ballot: reply.Accepted, Value: *reply.Value})
+		n.wake()
+	}
+}
+
+func (n *Node) wake() {
+	select {
+	case n.nudge <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/coordination/register/proposer.go
@@ -0,0 +1,264 @@
+package register
+
+import (
+	"bytes"
+	"slices"
+)
+
+// Change makes the next value from a chosen one. It may be called more than once in an operation, also on a value that
+// holds its own earlier work, if that was in doubt. Of its result Replicas, Previous and Data count. A result that is equal
+// in all three ends the operation with the value as it is, and so does an error, which the operation returns.
+type Change func(chosen Value) (Value, error)
+
+// Unchanged is the change of a read.
+func Unchanged(chosen Value) (Value, error) { return chosen, nil }
+
+// Output is what a Proposer or Reader asks of its driver.
+type Output struct {
+	Messages []Message
+	Retry    bool // call Proposer.Retry after a random back-off
+	Done     bool
+}
+
+type phase uint8
+
+const (
+	idle       phase = iota
+	preparing        // asking for promises
+	completing       // sending out again what others have left in doubt
+	accepting        // sending out the own proposal
+	ended
+)
+
+// Proposer brings one change to a chosen value, over as many ballots as it takes. It is pure.
+type Proposer struct {
+	self    Replica
+	ballots *Ballots
+	change  Change
+
+	base   Accepted // highest value known
+	chosen Ballot   // highest ballot known to be chosen
+
+	phase    phase
+	ballot   Ballot
+	proposal Value
+	asked    map[string]bool
+	answers  map[string]Reply
+
+	doubt  *Value // an own proposal that was sent out and may yet be chosen
+	result Accepted
+	err    error
+}
+
+// NewProposer returns an operation. Known is the highest value that the driver has, with the set to begin with; chosen is
+// the highest ballot that the driver knows to be chosen.
+func NewProposer(self Replica, ballots *Ballots, known Accepted, chosen Ballot, change Change) *Proposer {
+	ballots.Saw(known.Ballot)
+	return &Proposer{self: self, ballots: ballots, base: known, chosen: chosen, change: change}
+}
+
+// Start begins the first ballot.
+func (p *Proposer) Start() Output { return p.prepare() }
+
+// Retry gives the current ballot up and begins another.
+func (p *Proposer) Retry() Output {
+	if p.phase == ended {
+		return Output{Done: true}
+	}
+	p.noteDoubt()
+	return p.prepare()
+}
+
+// InDoubt reports whether an own proposal may yet be chosen without this operation knowing.
+func (p *Proposer) InDoubt() bool { return p.doubt != nil || p.phase == accepting }
+
+// Result returns the end of an operation that is done: the chosen value, and the error of the change if it gave one.
+func (p *Proposer) Result() (Accepted, error) { return p.result, p.err }
+
+// Deliver takes a reply. Replies to earlier ballots and doubles are ignored.
+func (p *Proposer) Deliver(reply Reply) Output {
+	p.ballots.Saw(reply.Promised)
+	if reply.Ballot != p.ballot || !p.awaits(reply.Kind) || !p.asked[reply.From.ID] {
+		return Output{Done: p.phase == ended}
+	}
+	if old, answered := p.answers[reply.From.ID]; answered && old.Refusal == Agreed {
+		return Output{}
+	}
+	p.answers[reply.From.ID] = reply
+	if p.phase == preparing {
+		return p.promised(reply)
+	}
+	return p.accepted()
+}
+
+func (p *Proposer) awaits(kind Kind) bool {
+	switch p.phase {
+	case preparing:
+		return kind == Prepare
+	case completing, accepting:
+		return kind == Accept
+	}
+	return false
+}
+
+func (p *Proposer) prepare() Output {
+	p.phase = preparing
+	p.ballot = p.ballots.Next()
+	p.asked = map[string]bool{}
+	p.answers = map[string]Reply{}
+	return Output{Messages: p.ask(Request{Kind: Prepare, Known: p.base.Ballot}, p.base.Value.Members())}
+}
+
+// ask addresses a request to those who have not had it in this phase.
+func (p *Proposer) ask(request Request, replicas []Replica) []Message {
+	var messages []Message
+	for _, replica := range replicas {
+		if p.asked[replica.ID] {
+			continue
+		}
+		p.asked[replica.ID] = true
+		request.To, request.From, request.Ballot = replica.ID, p.self, p.ballot
+		messages = append(messages, Message{To: replica, Request: request})
+	}
+	return messages
+}
+
+func (p *Proposer) promised(reply Reply) Output {
+	if p.chosen.Less(reply.Chosen) {
+		p.chosen = reply.Chosen
+	}
+	if reply.Refusal != Agreed {
+		return Output{Retry: p.hopeless(&p.base.Value)}
+	}
+	if reply.Value != nil && p.base.Ballot.Less(reply.Accepted) {
+		p.base = Accepted{Ballot: reply.Accepted, Value: *reply.Value}
+	}
+	// A newer value may have another set: its members have to promise, too.
+	messages := p.ask(Request{Kind: Prepare, Known: p.base.Ballot}, p.base.Value.Members())
+	if !p.base.Value.quorum(p.agreed) {
+		return Output{Messages: messages, Retry: p.hopeless(&p.base.Value)}
+	}
+	output := p.propose()
+	output.Messages = append(messages, output.Messages...)
+	return output
+}
+
+func (p *Proposer) agreed(id string) bool {
+	answer, answered := p.answers[id]
+	return answered && answer.Refusal == Agreed
+}
+
+// hopeless reports whether the refusals leave no majority.
+func (p *Proposer) hopeless(value *Value) bool {
+	return !value.quorum(func(id string) bool {
+		answer, answered := p.answers[id]
+		return !answered || answer.Refusal == Agreed
+	})
+}
+
+// propose decides what to send out, now that a majority of the set of the base has promised.
+func (p *Proposer) propose() Output {
+	p.settleDoubt()
+	if !p.baseIsChosen() {
+		p.proposal = p.base.Value
+		return p.accept(completing)
+	}
+	return p.onChosen(true)
+}
+
+// baseIsChosen reports whether a majority holds the base under its ballot, or whether someone knows it to be chosen.
+func (p *Proposer) baseIsChosen() bool {
+	if p.chosen == p.base.Ballot { // a higher one would say nothing of the base
+		return true
+	}
+	return p.base.Value.quorum(func(id string) bool {
+		answer, answered := p.answers[id]
+		return answered && answer.Refusal == Agreed && answer.Accepted == p.base.Ballot
+	})
+}
+
+// onChosen goes on from a base that is chosen: with the change, if there is a promise to use for it, else with a ballot.
+func (p *Proposer) onChosen(promised bool) Output {
+	if p.doubt != nil && p.doubt.Origin == p.base.Value.Origin {
+		return p.end(p.base, nil)
+	}
+	next, err := p.change(p.base.Value)
+	if err != nil || sameContent(&next, &p.base.Value) {
+		return p.end(p.base, err)
+	}
+	if !promised {
+		return p.prepare()
+	}
+	next.Revision = p.base.Value.Revision + 1
+	next.DataRevision = p.base.Value.DataRevision
+	if !bytes.Equal(next.Data, p.base.Value.Data) {
+		next.DataRevision = next.Revision
+	}
+	next.Origin = p.ballot
+	p.proposal = next
+	return p.accept(accepting)
+}
+
+func sameContent(a, b *Value) bool {
+	return bytes.Equal(a.Data, b.Data) && slices.Equal(a.Replicas, b.Replicas) && slices.Equal(a.Previous, b.Previous)
+}
+
+func (p *Proposer) accept(as phase) Output {
+	p.phase = as
+	p.asked = map[string]bool{}
+	p.answers = map[string]Reply{}
+	value := p.proposal
+	return Output{Messages: p.ask(Request{Kind: Accept, Known: p.ballot, Value: &value}, value.Members())}
+}
+
+func (p *Proposer) accepted() Output {
+	if !p.proposal.quorum(p.agreed) {
+		return Output{Retry: p.hopeless(&p.proposal)}
+	}
+	former := p.base.Value.Members()
+	p.base = Accepted{Ballot: p.ballot, Value: p.proposal}
+	p.chosen = p.ballot
+	var output Output
+	commits := p.commit(former)
+	if p.phase == accepting {
+		output = p.end(p.base, nil)
+	} else {
+		output = p.onChosen(false)
+	}
+	output.Messages = append(commits, output.Messages...)
+	return output
+}
+
+// commit tells the members of the chosen value, and those that are no longer among them.
+func (p *Proposer) commit(former []Replica) []Message {
+	p.asked = map[string]bool{}
+	request := Request{Kind: Commit}
+	messages := p.ask(request, p.base.Value.Members())
+	return append(messages, p.ask(request, former)...)
+}
+
+func (p *Proposer) end(result Accepted, err error) Output {
+	p.phase = ended
+	p.doubt = nil
+	p.result, p.err = result, err
+	return Output{Done: true}
+}
+
+// noteDoubt remembers an own proposal that is given up while it may yet be chosen.
+func (p *Proposer) noteDoubt() {
+	if p.phase == accepting {
+		proposal := p.proposal
+		p.doubt = &proposal
+	}
+}
+
+// settleDoubt forgets a proposal that a majority, by its promises, now keeps from being chosen. If the base is above its
+// revision, it may have been chosen before the base: then only the change can tell.
+func (p *Proposer) settleDoubt() {
+	if p.doubt == nil || p.doubt.Origin == p.base.Value.Origin {
+		return
+	}
+	if p.base.Value.Revision <= p.doubt.Revision {
+		p.doubt = nil
+	}
+}
--- /dev/null
+++ b/coordination/register/upkeep.go
@@ -0,0 +1,254 @@
+package register
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+)
+
+const (
+	// upkeepTick is the pace of what is urgent: a disk without an identity, a newcomer, a change of the set.
+	upkeepTick = 50 * time.Millisecond
+	// joinProbe is how long a newcomer waits to hear of every member, to know which of them can give way.
+	joinProbe = 500 * time.Millisecond
+	// rankDelay spreads what any member may do, so that usually the first one alone does it.
+	rankDelay = 400 * time.Millisecond
+	// doubtAfter is how long a value may stay in doubt before it is completed unasked.
+	doubtAfter   = time.Second
+	upkeepBudget = 3 * time.Second
+)
+
+// Run keeps the node in touch and in the set until ctx is done.
+func (n *Node) Run(ctx context.Context) {
+	ticker := time.NewTicker(upkeepTick)
+	defer ticker.Stop()
+	var lastBeat time.Time
+	var upkeep upkeep
+	for {
+		if time.Since(lastBeat) >= n.heartbeatInterval() {
+			lastBeat = time.Now()
+			n.heartbeat()
+		}
+		if n.markDisk() {
+			n.learnGenesis()
+			upkeep.step(ctx, n)
+		}
+		select {
+		case <-ticker.C:
+		case <-n.nudge:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// heartbeatInterval is short while the node is not in the set.
+func (n *Node) heartbeatInterval() time.Duration {
+	if known, _ := n.known(); known.Value.Has(n.ID()) {
+		return n.options.Heartbeat
+	}
+	return 2 * upkeepTick
+}
+
+// Leave takes the own replica out of the set, if enough others stay: for a process that is stopped for good while its
+// successor is already there. It does nothing otherwise.
+func (n *Node) Leave(ctx context.Context) error {
+	n.mu.Lock()
+	n.leaving = true
+	n.mu.Unlock()
+	for {
+		chosen := n.chosenValue()
+		if !chosen.Joint() && !chosen.Has(n.ID()) {
+			return nil
+		}
+		plan := n.membership(0)
+		if sameContent(&chosen, new(plan.plan(chosen))) {
+			return nil
+		}
+		if _, err := n.propose(ctx, func(value Value) (Value, error) { return plan.plan(value), nil }); err != nil {
+			return err
+		}
+	}
+}
+
+func (n *Node) chosenValue() Value {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.chosen.Value
+}
+
+func (n *Node) membership(delay time.Duration) membership {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	self := Replica{Address: n.options.Address}
+	if n.acceptor != nil {
+		self = n.acceptor.Self()
+	}
+	return membership{
+		self:    self,
+		target:  n.options.TargetReplicas,
+		most:    n.options.MaxReplicas,
+		leaving: n.leaving,
+		silence: func(replica Replica) time.Duration {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return n.silence(replica, now)
+		},
+		removeAfter: n.options.RemoveAfter + delay,
+	}
+}
+
+// upkeep is the state of the steps that Run takes beside the heartbeat.
+type upkeep struct {
+	running    chan struct{} // closed when the step under way ends; nil if there is none
+	memberOf   Ballot        // joint value that was seen last
+	jointSince time.Time
+	doubtSince time.Time
+	probeSince time.Time // when the node, not in the set, first knew it
+}
+
+// step starts what is due, in the background: the heartbeat must not wait for it.
+func (u *upkeep) step(ctx context.Context, n *Node) {
+	if u.running != nil {
+		select {
+		case <-u.running:
+			u.running = nil
+		default:
+			return
+		}
+	}
+	change := u.due(n, time.Now())
+	if change == nil {
+		return
+	}
+	running := make(chan struct{})
+	u.running = running
+	go func() {
+		defer close(running)
+		defer n.wake()
+		ctx, cancel := context.WithTimeout(ctx, upkeepBudget)
+		defer cancel()
+		chosen, err := n.propose(ctx, change)
+		if err != nil {
+			return
+		}
+		n.options.Log.Debug("register: upkeep", zap.Uint64("revision", chosen.Value.Revision),
+			zap.Int("replicas", len(chosen.Value.Replicas)), zap.Bool("joint", chosen.Value.Joint()))
+	}()
+}
+
+// due returns the change to make now, nil if there is none.
+func (u *upkeep) due(n *Node, now time.Time) Change {
+	chosen := n.chosenValue()
+	if len(chosen.Replicas) == 0 {
+		return u.settle(n, now)
+	}
+	plan := n.membership(rankDelay * time.Duration(rank(&chosen, n)))
+	if sameContent(&chosen, new(plan.plan(chosen))) {
+		return u.settle(n, now)
+	}
+	if !u.mayChange(n, &chosen, now) {
+		return nil
+	}
+	return func(value Value) (Value, error) { return plan.plan(value), nil }
+}
+
+// mayChange holds a change back: a joint set is finished by whoever made it, unless it takes too long; a newcomer hears of
+// every member first.
+func (u *upkeep) mayChange(n *Node, chosen *Value, now time.Time) bool {
+	if chosen.Joint() {
+		if u.memberOf != chosen.Origin {
+			u.memberOf, u.jointSince = chosen.Origin, now
+		}
+		mine := chosen.Origin.Proposer == n.ballots.proposer
+		return mine || now.Sub(u.jointSince) >= rankDelay*time.Duration(1+rank(chosen, n))
+	}
+	if chosen.Has(n.ID()) {
+		u.probeSince = time.Time{}
+		return true
+	}
+	if u.probeSince.IsZero() {
+		u.probeSince = now
+	}
+	return now.Sub(u.probeSince) >= joinProbe || n.heardAll(chosen, u.probeSince)
+}
+
+// settle completes what stays in doubt, or learns the set's state after a start. It returns nil if nothing does.
+func (u *upkeep) settle(n *Node, now time.Time) Change {
+	if known, chosen := n.known(); len(known.Value.Replicas) == 0 || known.Ballot == chosen && !n.behind(chosen) {
+		u.doubtSince = time.Time{}
+		return nil
+	}
+	if u.doubtSince.IsZero() {
+		u.doubtSince = now
+	}
+	known, _ := n.known()
+	if now.Sub(u.doubtSince) < doubtAfter+rankDelay*time.Duration(rank(&known.Value, n)) {
+		return nil
+	}
+	u.doubtSince = time.Time{}
+	return Unchanged
+}
+
+// behind reports whether a replica told of an accepted ballot above the chosen one.
+func (n *Node) behind(chosen Ballot) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range n.peers {
+		if chosen.Less(p.accepted) {
+			return true
+		}
+	}
+	return false
+}
+
+// heardAll reports whether every member at another address has answered since a moment.
+func (n *Node) heardAll(value *Value, since time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, replica := range value.Replicas {
+		if replica.Address == n.options.Address {
+			continue
+		}
+		if p := n.peers[replica.Address]; p == nil || p.answered.Before(since) {
+			return false
+		}
+	}
+	return true
+}
+
+// rank is the node's place among the members that are not silent.
+func rank(value *Value, n *Node) int {
+	self := n.ID()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	place := 0
+	for _, replica := range value.Replicas {
+		if replica.ID == self {
+			break
+		}
+		if n.silence(replica, now) == 0 {
+			place++
+		}
+	}
+	return place
+}
+
+// awaitSet waits until the node knows whom to ask.
+func (n *Node) awaitSet(ctx context.Context) error {
+	for {
+		changed := n.Changed()
+		if known, _ := n.known(); len(known.Value.Replicas) > 0 {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return eris.Wrap(ErrNoQuorum, "no set known")
+		}
+	}
+}
--- /dev/null
+++ b/coordination/store/disk.go
@@ -0,0 +1,147 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	asideSuffix   = ".tmp"
+	versionDigits = 20 // all digits of a uint64
+	filePerm      = 0o600
+	folderPerm    = 0o700
+)
+
+// Disk is a Store in files NAME.VERSION of a folder. Several stores with different names may share a folder.
+type Disk struct {
+	folder  string
+	name    string
+	version uint64 // highest version ever used, whole or not
+}
+
+// OpenDisk opens the record called name in folder, which is made if it isn't there.
+func OpenDisk(folder, name string) (*Disk, error) {
+	if _, err := os.Stat(folder); errors.Is(err, os.ErrNotExist) {
+		if err := os.MkdirAll(folder, folderPerm); err != nil {
+			return nil, eris.Wrapf(ErrFailed, "make folder %s: %v", folder, err)
+		}
+	}
+	return &Disk{folder: folder, name: name}, nil
+}
+
+// Load implements Store.
+func (d *Disk) Load() ([]byte, error) {
+	versions, err := d.list()
+	if err != nil {
+		return nil, err
+	}
+	for _, version := range slices.Backward(versions) {
+		record, err := os.ReadFile(d.path(version))
+		if err != nil {
+			return nil, eris.Wrapf(ErrFailed, "read: %v", err)
+		}
+		if data, whole := decodeRecord(version, record); whole {
+			return data, nil
+		}
+	}
+	return nil, eris.Wrap(ErrNone, d.name)
+}
+
+// Save implements Store.
+func (d *Disk) Save(data []byte) error {
+	versions, err := d.list()
+	if err != nil {
+		return err
+	}
+	d.version++
+	aside := d.path(d.version) + asideSuffix
+	if err := writeSynced(aside, encodeHeader(d.version, data), data); err != nil {
+		_ = os.Remove(aside)
+		return typed(err, "write aside")
+	}
+	if err := os.Rename(aside, d.path(d.version)); err != nil {
+		_ = os.Remove(aside)
+		return typed(err, "rename")
+	}
+	if err := syncFolder(d.folder); err != nil {
+		return typed(err, "sync folder")
+	}
+	for _, old := range versions {
+		_ = os.Remove(d.path(old)) // one that stays is removed by the next Save
+	}
+	return nil
+}
+
+// list returns the versions there are, oldest first, and removes what was left aside.
+func (d *Disk) list() ([]uint64, error) {
+	entries, err := os.ReadDir(d.folder)
+	if err != nil {
+		return nil, eris.Wrapf(ErrFailed, "list: %v", err)
+	}
+	var versions []uint64
+	for _, entry := range entries {
+		rest, ours := strings.CutPrefix(entry.Name(), d.name+".")
+		if !ours {
+			continue
+		}
+		digits, aside := strings.CutSuffix(rest, asideSuffix)
+		version, err := strconv.ParseUint(digits, 10, 64)
+		if err != nil {
+			continue
+		}
+		d.version = max(d.version, version)
+		if aside {
+			_ = os.Remove(filepath.Join(d.folder, entry.Name()))
+			continue
+		}
+		versions = append(versions, version)
+	}
+	slices.Sort(versions)
+	return versions, nil
+}
+
+func (d *Disk) path(version uint64) string {
+	return filepath.Join(d.folder, fmt.Sprintf("%s.%0*d", d.name, versionDigits, version))
+}
+
+func writeSynced(path string, parts ...[]byte) (err error) {
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, filePerm)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if closed := file.Close(); err == nil {
+			err = closed
+		}
+	}()
+	for _, part := range parts {
+		if _, err := file.Write(part); err != nil {
+			return err
+		}
+	}
+	return file.Sync()
+}
+
+func syncFolder(path string) error {
+	folder, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = folder.Close() }()
+	return folder.Sync()
+}
+
+func typed(err error, action string) error {
+	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
+		return eris.Wrapf(ErrFull, "%s: %v", action, err)
+	}
+	return eris.Wrapf(ErrFailed, "%s: %v", action, err)
+}
