--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -198,9 +198,17 @@
 // InternalAddress is the address at which the process on this machine listens for the rest of the fleet.
 func (s *Settings) InternalAddress() string { return internalAddress(s.IP, s.InternalPorts[0]) }
 
-// AgentAddress is the loopback address at which the agent of this machine feeds its router.
+// loopbackIP is the address of the machine that only its own processes reach.
+const loopbackIP = "127.0.0.1"
+
+// AgentAddress is the loopback address at which the agent of this machine feeds its router. A machine whose own IP is a
+// loopback address is one of several on a real machine: its agent listens at that IP, so that they don't clash.
 func (s *Settings) AgentAddress() string {
-	return internalAddress("127.0.0.1", s.InternalPorts[0]+agentPortOffset)
+	ip := loopbackIP
+	if netip.MustParseAddr(s.IP).IsLoopback() {
+		ip = s.IP
+	}
+	return internalAddress(ip, s.InternalPorts[0]+agentPortOffset)
 }
 
 // SeedInternalAddresses returns the internal addresses of the seeds. Ports are alike on all machines, so these are the
--- a/internal/settings/watcher.go
+++ b/internal/settings/watcher.go
@@ -49,24 +49,25 @@
 	defer signal.Stop(hangups)
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
-	w.run(ctx, hangups, ticker.C)
-}
-
-func (w *Watcher) run(ctx context.Context, hangups <-chan os.Signal, ticks <-chan time.Time) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangups:
 			w.reread(w.current())
-		case <-ticks:
-			if now := w.current(); now != w.seen {
-				w.reread(now)
-			}
+		case <-ticker.C:
+			w.look()
 		}
 	}
 }
 
+// look rereads the file if it has another time or size than before.
+func (w *Watcher) look() {
+	if now := w.current(); now != w.seen {
+		w.reread(now)
+	}
+}
+
 // current returns the stamp of the file, zero if there is none.
 func (w *Watcher) current() stamp {
 	info, err := os.Stat(w.path)
