--- /dev/null
+++ b/cmd/weldfleet/config.go
@@ -0,0 +1,233 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"weldscale/internal/fleetclient"
+	"weldscale/internal/fleetconfig"
+	"weldscale/internal/fleetwire"
+)
+
+const (
+	flagBase = "base"
+
+	// standardInput stands for the standard input where a file is expected.
+	standardInput  = "-"
+	maxConfigBytes = 64 << 20
+)
+
+func configCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "config",
+		Usage:  "check, read, send and compare configurations",
+		Action: refuseUnknown,
+		Commands: []*cli.Command{
+			{
+				Name:      "check",
+				Usage:     "check a configuration as the controllers would, without a fleet",
+				ArgsUsage: "FILE",
+				Action:    checkConfig,
+			},
+			{
+				Name:   "get",
+				Usage:  "print the newest configuration as it was sent",
+				Action: getConfig,
+			},
+			{
+				Name:      "put",
+				Usage:     "send a configuration",
+				ArgsUsage: "FILE",
+				Flags: []cli.Flag{&cli.Int64Flag{
+					Name:  flagBase,
+					Usage: "`VERSION` that it builds on, 0 for the first; by default the current one",
+					Value: -1, HideDefault: true,
+				}},
+				Action: putConfig,
+			},
+			{
+				Name:      "diff",
+				Usage:     "compare two configurations, or the current one with a file; exits 1 if they differ",
+				ArgsUsage: "[OLD] NEW",
+				Action:    diffConfigs,
+			},
+		},
+	}
+}
+
+func checkConfig(_ context.Context, command *cli.Command) error {
+	given, err := arguments(command, 1, 1)
+	if err != nil {
+		return err
+	}
+	_, config, err := readConfig(command, given[0])
+	if err != nil {
+		return err
+	}
+	return printLine(command, "version %d: %d routes, %d services", config.Version, len(config.Routes), len(config.Services))
+}
+
+func getConfig(ctx context.Context, command *cli.Command) error {
+	if _, err := arguments(command, 0, 0); err != nil {
+		return err
+	}
+	ctx, cancel := withTimeout(ctx, command)
+	defer cancel()
+	body, _, err := currentConfig(ctx, command)
+	if err != nil {
+		return err
+	}
+	_, err = command.Root().Writer.Write(append(body, '\n'))
+	return err
+}
+
+func putConfig(ctx context.Context, command *cli.Command) error {
+	given, err := arguments(command, 1, 1)
+	if err != nil {
+		return err
+	}
+	body, config, err := readConfig(command, given[0])
+	if err != nil {
+		return err
+	}
+	ctx, cancel := withTimeout(ctx, command)
+	defer cancel()
+	client, err := newClient(command)
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	base, err := baseVersion(ctx, command, client)
+	if err != nil {
+		return err
+	}
+	if err := fleetconfig.CheckVersion(config, base); err != nil {
+		return err
+	}
+	if err := client.Replace(ctx, base, body); err != nil {
+		return err
+	}
+	return printLine(command, "version %d is taken, on top of %d", config.Version, base)
+}
+
+// baseVersion returns the version that a change builds on: the one given, or the current one.
+func baseVersion(ctx context.Context, command *cli.Command, client *fleetclient.Client) (int64, error) {
+	if command.IsSet(flagBase) {
+		base := command.Int64(flagBase)
+		if base < 0 {
+			return 0, usageError{"--" + flagBase + ": below 0"}
+		}
+		return base, nil
+	}
+	body, err := client.Read(ctx)
+	if errors.Is(err, fleetclient.ErrNone) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	current, err := fleetconfig.Parse(body)
+	if err != nil {
+		return 0, eris.Wrap(err, "the current configuration")
+	}
+	return current.Version, nil
+}
+
+func diffConfigs(ctx context.Context, command *cli.Command) error {
+	given, err := arguments(command, 1, 2)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := withTimeout(ctx, command)
+	defer cancel()
+	old, err := olderConfig(ctx, command, given)
+	if err != nil {
+		return err
+	}
+	_, next, err := readConfig(command, given[len(given)-1])
+	if err != nil {
+		return err
+	}
+	differences := fleetconfig.Diff(old, next)
+	if err := printDifferences(command, differences); err != nil {
+		return err
+	}
+	if len(differences) > 0 {
+		return errDiffers
+	}
+	return nil
+}
+
+// olderConfig returns the first of two configurations, or the current one where only one is given.
+func olderConfig(ctx context.Context, command *cli.Command, given []string) (*fleetwire.Config, error) {
+	if len(given) == 1 {
+		_, config, err := currentConfig(ctx, command)
+		return config, err
+	}
+	_, config, err := readConfig(command, given[0])
+	return config, err
+}
+
+func printDifferences(command *cli.Command, differences []fleetconfig.Difference) error {
+	if command.Bool(flagJSON) {
+		return printJSON(command, differences)
+	}
+	if len(differences) == 0 {
+		return nil
+	}
+	rows := newTable("PART", "NAME", "WHAT", "OLD", "NEW")
+	for _, difference := range differences {
+		rows.add(difference.Part, difference.Name, difference.What, difference.Old, difference.New)
+	}
+	return rows.print(command.Root().Writer)
+}
+
+// currentConfig reads the newest configuration from the fleet.
+func currentConfig(ctx context.Context, command *cli.Command) ([]byte, *fleetwire.Config, error) {
+	client, err := newClient(command)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer client.Close()
+	body, err := client.Read(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	config, err := fleetconfig.Parse(body)
+	return body, config, eris.Wrap(err, "the current configuration")
+}
+
+// readConfig reads a configuration from a file and checks it.
+func readConfig(command *cli.Command, path string) ([]byte, *fleetwire.Config, error) {
+	body, err := readFile(command, path)
+	if err != nil {
+		return nil, nil, err
+	}
+	config, err := fleetconfig.Parse(body)
+	return body, config, eris.Wrap(err, path)
+}
+
+func readFile(command *cli.Command, path string) ([]byte, error) {
+	if path != standardInput {
+		return os.ReadFile(path)
+	}
+	return io.ReadAll(io.LimitReader(command.Root().Reader, maxConfigBytes))
+}
+
+func printLine(command *cli.Command, format string, values ...any) error {
+	_, err := fmt.Fprintf(command.Root().Writer, format+"\n", values...)
+	return err
+}
+
+func printJSON(command *cli.Command, value any) error {
+	encoder := json.NewEncoder(command.Root().Writer)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
