--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -69,6 +69,12 @@
 	assert.Equal(t, []string{"10.1.0.16:7720", "10.2.0.32:7720"}, parsed.SeedInternalAddresses())
 }
 
+func TestAnAgentOnALoopbackMachineListensAtItsIP(t *testing.T) {
+	parsed, err := Parse(changed(t, `"Ip": "10.1.0.13"`, `"Ip": "127.0.1.4"`))
+	require.NoError(t, err)
+	assert.Equal(t, "127.0.1.4:7721", parsed.AgentAddress())
+}
+
 func TestBoundsAreDurations(t *testing.T) {
 	parsed, err := Parse([]byte(routerFile))
 	require.NoError(t, err)
