--- a/internal/controller/operator.go
+++ b/internal/controller/operator.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"weldscale/coordination/register"
@@ -24,8 +23,8 @@
 	maxConfigBytes = 4 << 20
 	// changeTimeout bounds the work for one change: within AckMs, and long enough to get over a replica that hangs.
 	changeTimeout = 3 * time.Second
-	// attemptTimeout bounds one try of a change or a read, so that the next one may find another quorum.
-	attemptTimeout = time.Second
+	// attemptTimeout bounds one try of a change or a read. It is above the time-out of a round of the register.
+	attemptTimeout = 1500 * time.Millisecond
 	readTimeout    = 2 * time.Second
 	// doubtPause separates the tries of a change whose outcome is not known.
 	doubtPause = 20 * time.Millisecond
@@ -33,11 +32,8 @@
 	// call.
 	formingTimeout     = 5 * time.Second
 	formingCallTimeout = 700 * time.Millisecond
-	formingPoll        = 25 * time.Millisecond
 )
 
-var errForming = eris.New("the set of replicas is not complete yet")
-
 // operatorAPI serves the operator's calls.
 type operatorAPI struct {
 	node    stateRegister
@@ -120,16 +116,17 @@
 // waitForming holds a change back while a fresh fleet gathers its replicas: an acknowledgement must be able to outlive
 // the loss of some. It gives up for good after a while, since a replica may be missing from the start.
 func (a *operatorAPI) waitForming(ctx context.Context) error {
-	deadline := min(formingCallTimeout, formingTimeout-time.Since(a.started))
-	for begun := time.Now(); !a.node.Formed(); {
-		if time.Since(a.started) >= formingTimeout {
-			return nil
-		}
-		if time.Since(begun) >= deadline || !pause(ctx, formingPoll) {
-			return errForming
-		}
+	span := min(formingCallTimeout, formingTimeout-time.Since(a.started))
+	if span <= 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, span)
+	defer cancel()
+	err := a.node.WaitFormed(ctx)
+	if err != nil && time.Since(a.started) >= formingTimeout {
+		return nil
 	}
-	return nil
+	return err
 }
 
 func (a *operatorAPI) answer(w http.ResponseWriter, err error) {
--- a/internal/controller/publish.go
+++ b/internal/controller/publish.go
@@ -15,7 +15,7 @@
 func (c *controller) followRegister(ctx context.Context) {
 	for {
 		changed := c.node.Changed()
-		if latest := c.node.Latest(); latest.Revision > 0 {
+		if latest := c.node.Latest(); len(latest.Replicas) > 0 {
 			c.publish(latest)
 		}
 		select {
--- a/internal/controller/register.go
+++ b/internal/controller/register.go
@@ -15,7 +15,8 @@
 	Latest() register.State
 	Changed() <-chan struct{}
 	QuorumAge() time.Duration
-	Formed() bool
+	WaitFormed(ctx context.Context) error
+	Leave(ctx context.Context) error
 	Register(mux *http.ServeMux)
 }
 
--- a/internal/controller/roster.go
+++ b/internal/controller/roster.go
@@ -77,7 +77,7 @@
 	return slices.DeleteFunc(r.known(now), func(address string) bool { return address == r.self })
 }
 
-// due returns the addresses that are to be sent a heartbeat now and marks them busy.
+// due returns the addresses that are to be sent a heartbeat now and marks them busy. With everyone, the pace doesn't count.
 func (r *roster) due(now time.Time, everyone bool) []string {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -85,7 +85,7 @@
 	var due []string
 	for _, address := range r.targets() {
 		known := r.contact(address)
-		if known.busy || (!everyone && now.Before(known.next)) {
+		if !everyone && (known.busy || now.Before(known.next)) {
 			continue
 		}
 		known.busy = true
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -38,24 +38,51 @@
 	if err := current.CheckControl(); err != nil {
 		return eris.Wrap(err, "settings")
 	}
-	open, err := listen(current)
+	opened, err := open(ctx, current, log)
 	if err != nil {
 		return err
 	}
-	// The parts outlive ctx: calls in hand are answered and roles are given up first.
-	running, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	client := transport.NewClient()
-	defer client.Close()
+	watcher := settings.NewWatcher(current, opened.controller.settingsChanged, log)
+	return opened.run(ctx, watcher.Run)
+}
+
+// process is a controller with what it has opened.
+type process struct {
+	controller *controller
+	node       *register.Node
+	client     *transport.Client
+	listeners  listeners
+	stop       context.CancelFunc // ends all parts at once
+}
+
+func open(ctx context.Context, current *settings.Settings, log *zap.Logger) (*process, error) {
+	opened, err := listen(current)
+	if err != nil {
+		return nil, err
+	}
 	var latest atomic.Pointer[settings.Settings]
 	latest.Store(current)
+	client := transport.NewClient()
 	node, err := register.Open(registerOptions(&latest, client, log))
 	if err != nil {
-		return eris.Wrap(err, "open the register")
+		opened.close()
+		return nil, eris.Wrap(err, "open the register")
 	}
-	c := newController(running, &latest, node, client, log)
-	watcher := settings.NewWatcher(current, c.settingsChanged, log)
-	return c.serve(ctx, stop, open, node.Run, watcher.Run)
+	// The parts outlive ctx: calls in hand are answered and roles are given up first.
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	return &process{
+		controller: newController(running, &latest, node, client, log),
+		node:       node,
+		client:     client,
+		listeners:  opened,
+		stop:       stop,
+	}, nil
+}
+
+func (p *process) run(ctx context.Context, parts ...func(context.Context)) error {
+	defer p.client.Close()
+	defer p.stop()
+	return p.controller.serve(ctx, p.stop, p.listeners, append(parts, p.node.Run)...)
 }
 
 func listen(current *settings.Settings) (listeners, error) {
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -29,8 +29,13 @@
 	control  net.Listener
 }
 
-// serve runs the controller until ctx is done, and then gives its roles up, answers what is in hand and returns. Running
-// is the context of all its parts, which ends with the call of stop.
+func (l listeners) close() {
+	_ = l.internal.Close()
+	_ = l.control.Close()
+}
+
+// serve runs the controller until ctx is done, and then gives its roles up, answers what is in hand and returns.
+// Its parts end with the call of stop.
 func (c *controller) serve(ctx context.Context, stop func(), open listeners, parts ...func(context.Context)) error {
 	serving := c.startServers(open)
 	var working sync.WaitGroup
@@ -84,13 +89,18 @@
 	return mux
 }
 
-// leave gives up the roles, tells the other controllers, and ends the polls of the watchers.
+// leave gives up the roles, tells the other controllers, ends the polls of the watchers, and takes the replica out of the
+// register's set if enough others stay.
 func (c *controller) leave() {
 	c.leases.with(func(decider *lease.Decider, _ time.Duration) { decider.Release() })
 	c.hub.Close()
 	ctx, cancel := context.WithTimeout(c.ctx, releaseTimeout)
 	defer cancel()
-	c.sendHeartbeats(ctx, true).Wait()
+	told := c.sendHeartbeats(ctx, true)
+	if err := c.node.Leave(ctx); err != nil {
+		c.log.Info("the replica stays in the register's set", zap.String("cause", err.Error()))
+	}
+	told.Wait()
 }
 
 // shutdown answers the operator's calls in hand, for which the register must still be reached, and closes.
