--- /dev/null
+++ b/internal/standin/operator/operator_test.go
@@ -0,0 +1,53 @@
+package operator
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// controllers starts servers that answer with these statuses, one after the other, and returns their addresses.
+func controllers(t *testing.T, statuses ...int) (func() []string, *[]string) {
+	var addresses []string
+	bodies := &[]string{}
+	for range 2 {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body := make([]byte, r.ContentLength)
+			_, _ = r.Body.Read(body)
+			*bodies = append(*bodies, r.Host+" "+r.Header.Get("Base-Version")+" "+string(body))
+			w.WriteHeader(statuses[0])
+			statuses = statuses[1:]
+		}))
+		t.Cleanup(server.Close)
+		addresses = append(addresses, server.Listener.Addr().String())
+	}
+	return func() []string { return addresses }, bodies
+}
+
+func TestALostAnswerIsAskedForAtAnotherController(t *testing.T) {
+	known, bodies := controllers(t, 200, 200)
+	o := New(known)
+	o.LoseAnswers(1)
+	status, err := o.ReplaceRaw(context.Background(), 3, []byte("{}"))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.ElementsMatch(t, []string{known()[0] + " 3 {}", known()[1] + " 3 {}"}, *bodies)
+}
+
+func TestClearAndUnclearAnswers(t *testing.T) {
+	for statuses, want := range map[[2]int]int{{500, 412}: 412, {429, 200}: 200, {408, 400}: 400, {422, 200}: 422} {
+		known, _ := controllers(t, statuses[:]...)
+		status, err := New(known).ReplaceRaw(context.Background(), 0, nil)
+		require.NoError(t, err)
+		require.Equal(t, want, status)
+	}
+	known, _ := controllers(t, 404, 404, 404)
+	o := New(known)
+	status, err := o.ReplaceRaw(context.Background(), 0, nil)
+	require.NoError(t, err)
+	require.Equal(t, 404, status)
+	require.Equal(t, 3, o.Calls())
+}
