--- /dev/null
+++ b/coordination/rendezvous/rendezvous.go
@@ -0,0 +1,51 @@
+// Package rendezvous chooses among candidates by highest random weight: all who know the same candidates choose alike, keys
+// spread evenly over them, and a candidate that comes or goes moves only the keys that it gains or loses.
+package rendezvous
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
+
+// Weight returns the weight of a candidate for a key. The candidate with the highest weight is the key's first choice.
+func Weight(key, candidate string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(key))
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.Write([]byte(candidate))
+	return mix(hash.Sum64())
+}
+
+// Rank returns the candidates in the order of choice for a key, each once.
+func Rank(key string, candidates []string) []string {
+	type weighted struct {
+		candidate string
+		weight    uint64
+	}
+	ordered := make([]weighted, 0, len(candidates))
+	for _, candidate := range candidates {
+		ordered = append(ordered, weighted{candidate, Weight(key, candidate)})
+	}
+	slices.SortFunc(ordered, func(a, b weighted) int {
+		if byWeight := cmp.Compare(b.weight, a.weight); byWeight != 0 {
+			return byWeight
+		}
+		return cmp.Compare(a.candidate, b.candidate)
+	})
+	ranked := make([]string, 0, len(ordered))
+	for _, entry := range ordered {
+		ranked = append(ranked, entry.candidate)
+	}
+	return slices.Compact(ranked)
+}
+
+// mix spreads the bits of FNV, which are weak for inputs that differ in their last bytes only.
+func mix(value uint64) uint64 {
+	value ^= value >> 33
+	value *= 0xff51afd7ed558ccd
+	value ^= value >> 33
+	value *= 0xc4ceb9fe1a85ec53
+	value ^= value >> 33
+	return value
+}
--- /dev/null
+++ b/coordination/rendezvous/rendezvous_test.go
@@ -0,0 +1,52 @@
+package rendezvous
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func candidates(count int) []string {
+	names := make([]string, 0, count)
+	for i := range count {
+		names = append(names, fmt.Sprintf("10.%d.0.%d:7720", i+1, 16+9*i))
+	}
+	return names
+}
+
+func TestKeysSpreadEvenly(t *testing.T) {
+	counts := map[string]int{}
+	for i := range 3000 {
+		counts[Rank(fmt.Sprintf("frontend-hall-%d", i), candidates(3))[0]]++
+	}
+	for _, candidate := range candidates(3) {
+		require.InDelta(t, 1000, counts[candidate], 120)
+	}
+}
+
+func TestACandidateThatGoesMovesOnlyItsOwnKeys(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := candidates(rapid.IntRange(2, 20).Draw(t, "candidates"))
+		key := rapid.String().Draw(t, "key")
+		gone := rapid.SampledFrom(all).Draw(t, "gone")
+		without := func(from []string) []string {
+			return slices.DeleteFunc(slices.Clone(from), func(candidate string) bool { return candidate == gone })
+		}
+		if !slices.Equal(without(Rank(key, all)), Rank(key, without(all))) {
+			t.Fatal("the order of those that stay changed")
+		}
+	})
+}
+
+func TestRankDoesNotDependOnTheOrderAndDropsDoubles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := candidates(rapid.IntRange(1, 20).Draw(t, "candidates"))
+		shuffled := rapid.Permutation(all).Draw(t, "shuffled")
+		if !slices.Equal(Rank("key", all), Rank("key", append(shuffled, all...))) {
+			t.Fatal("another order")
+		}
+	})
+}
--- a/coordination/watch/choice.go
+++ b/coordination/watch/choice.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 	"time"
+
+	"weldscale/coordination/rendezvous"
 )
 
 const (
@@ -78,8 +79,8 @@
 
 // Next returns the next poll. Known hubs are those that hubs told of; seeds that aren't among them come last.
 func (c *Choice) Next(now time.Time, known, seeds []string) Ask {
-	preferred := rank(c.options.Node, known)
-	others := slices.DeleteFunc(rank(c.options.Node, seeds), func(seed string) bool { return slices.Contains(preferred, seed) })
+	preferred := rendezvous.Rank(c.options.Node, known)
+	others := slices.DeleteFunc(rendezvous.Rank(c.options.Node, seeds), func(seed string) bool { return slices.Contains(preferred, seed) })
 	order := slices.Concat(preferred, others)
 	c.forget(order)
 	if len(order) == 0 {
@@ -216,34 +217,3 @@
 	}
 	return record
 }
-
-// rank orders addresses by rendezvous hashing for a node, each once.
-func rank(node string, addresses []string) []string {
-	ordered := slices.Clone(addresses)
-	slices.SortFunc(ordered, func(a, b string) int {
-		if byWeight := cmp.Compare(weight(node, b), weight(node, a)); byWeight != 0 {
-			return byWeight
-		}
-		return cmp.Compare(a, b)
-	})
-	return slices.Compact(ordered)
-}
-
-// weight is the rendezvous weight of an address for a node.
-func weight(node, address string) uint64 {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(node))
-	_, _ = hash.Write([]byte{0})
-	_, _ = hash.Write([]byte(address))
-	return mix(hash.Sum64())
-}
-
-// mix spreads the bits of a hash, as names and addresses of one fleet differ in few of them.
-func mix(value uint64) uint64 {
-	value ^= value >> 33
-	value *= 0xff51afd7ed558ccd
-	value ^= value >> 33
-	value *= 0xc4ceb9fe1a85ec53
-	value ^= value >> 33
-	return value
-}
--- a/coordination/watch/choice_test.go
+++ b/coordination/watch/choice_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"weldscale/coordination/rendezvous"
 )
 
 var start = time.Now()
@@ -24,9 +26,9 @@
 	counts := map[string]int{}
 	for i := range 300 {
 		node := fmt.Sprintf("frontend-hall-%d", i)
-		order := rank(node, all)
+		order := rendezvous.Rank(node, all)
 		counts[order[0]]++
-		without := rank(node, all[:2])
+		without := rendezvous.Rank(node, all[:2])
 		if order[0] != all[2] {
 			require.Equal(t, order[0], without[0], "a watcher moved although its hub stayed")
 		}
@@ -103,7 +105,7 @@
 
 func TestChoiceReturnsToItsFirstHub(t *testing.T) {
 	all := controllers(3)
-	order := rank("node", all)
+	order := rendezvous.Rank("node", all)
 	choice := NewChoice(ChoiceOptions{Node: "node"})
 	first := choice.Next(start, all, nil)
 	require.Equal(t, order[0], first.Address)
--- a/coordination/watch/follower_test.go
+++ b/coordination/watch/follower_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"weldscale/coordination/rendezvous"
 	"weldscale/internal/fleetwire"
 )
 
@@ -30,7 +31,7 @@
 
 func newFleet(t *testing.T, options FollowerOptions) *fleet {
 	options.Self.Name = "frontend-1"
-	f := &fleet{t: t, network: newNetwork(), order: rank(options.Self.Name, controllers(3))}
+	f := &fleet{t: t, network: newNetwork(), order: rendezvous.Rank(options.Self.Name, controllers(3))}
 	f.hubs = map[string]*Hub{}
 	f.quorums = map[string]*touch{}
 	for _, address := range f.order {
