--- a/cmd/weldscale/fleet_test.go
+++ b/cmd/weldscale/fleet_test.go
@@ -87,7 +87,7 @@
 	require.Eventually(t, func() bool { return part() < 0.1*rate }, patience, 50*time.Millisecond, "no majority: the floor is left")
 	require.NoError(t, b.Signal(syscall.SIGCONT))
 	most("the second keeper is back")
-	c = start(2)
+	start(2)
 	most("so is the third, which knows nothing")
 	close(stop)
 	clients.Wait()
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -105,14 +105,12 @@
 			Links: []Link{{"murun", []netip.Prefix{netip.MustParsePrefix("127.0.3.0/24")}, 100, 100}}}
 		k := New(l)
 		type model struct {
-			p        *Peer
-			begun    Time    // of the transfer
-			due      float64 // bytes that the least rate asks for
-			quick    bool    // no gap in which it brought less than the rate asks for
-			last     Time
-			rate     float64
-			closed   bool
-			hasTried bool
+			p      *Peer
+			begun  Time // of the transfer
+			quick  bool // no gap in which it brought less than the rate asks for
+			last   Time
+			rate   float64
+			closed bool
 		}
 		var all []*model
 		now := Time(1 << 40)
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -39,10 +39,9 @@
 
 type member struct {
 	*Holder
-	pace   float64
-	cut    bool
-	stall  bool
-	inHand int
+	pace  float64
+	cut   bool
+	stall bool
 }
 
 type keeper struct {
