--- a/coordination/register/message.go
+++ b/coordination/register/message.go
@@ -40,6 +40,7 @@
 
 // Request is what one process asks of another.
 type Request struct {
+	//lint:ignore U1000 msgpack reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Kind      Kind
@@ -53,6 +54,7 @@
 
 // Reply answers a request.
 type Reply struct {
+	//lint:ignore U1000 msgpack reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Kind     Kind   // of the request
--- a/coordination/register/value.go
+++ b/coordination/register/value.go
@@ -8,6 +8,7 @@
 
 // Ballot orders proposals. A proposer never uses a ballot twice, since its identity is drawn anew at each start.
 type Ballot struct {
+	//lint:ignore U1000 msgpack reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Round    uint64
@@ -27,6 +28,7 @@
 
 // Replica is one holder of the register.
 type Replica struct {
+	//lint:ignore U1000 msgpack reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	ID      string // identity of its disk
@@ -38,6 +40,7 @@
 
 // Value is what the register holds.
 type Value struct {
+	//lint:ignore U1000 msgpack reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Revision     uint64    // grows by one with each chosen write
@@ -75,6 +78,7 @@
 
 // Accepted is a value under the ballot that it was accepted with.
 type Accepted struct {
+	//lint:ignore U1000 msgpack reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Ballot Ballot
