--- a/cmd/weldfleet/config.go
+++ b/cmd/weldfleet/config.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -84,7 +85,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = command.Root().Writer.Write(append(body, '\n'))
+	_, err = command.Root().Writer.Write(body)
 	return err
 }
 
@@ -104,10 +105,13 @@
 		return err
 	}
 	defer client.Close()
-	base, err := baseVersion(ctx, command, client)
+	base, inForce, err := baseVersion(ctx, command, client)
 	if err != nil {
 		return err
 	}
+	if bytes.Equal(inForce, body) {
+		return printLine(command, "version %d is the current one already", config.Version)
+	}
 	if err := fleetconfig.CheckVersion(config, base); err != nil {
 		return err
 	}
@@ -117,27 +121,27 @@
 	return printLine(command, "version %d is taken, on top of %d", config.Version, base)
 }
 
-// baseVersion returns the version that a change builds on: the one given, or the current one.
-func baseVersion(ctx context.Context, command *cli.Command, client *fleetclient.Client) (int64, error) {
+// baseVersion returns the version that a change builds on: the one given, or the current one together with its bytes.
+func baseVersion(ctx context.Context, command *cli.Command, client *fleetclient.Client) (int64, []byte, error) {
 	if command.IsSet(flagBase) {
 		base := command.Int64(flagBase)
 		if base < 0 {
-			return 0, usageError{"--" + flagBase + ": below 0"}
+			return 0, nil, usageError{"--" + flagBase + ": below 0"}
 		}
-		return base, nil
+		return base, nil, nil
 	}
 	body, err := client.Read(ctx)
 	if errors.Is(err, fleetclient.ErrNone) {
-		return 0, nil
+		return 0, nil, nil
 	}
 	if err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	current, err := fleetconfig.Parse(body)
 	if err != nil {
-		return 0, eris.Wrap(err, "the current configuration")
+		return 0, nil, eris.Wrap(err, "the current configuration")
 	}
-	return current.Version, nil
+	return current.Version, body, nil
 }
 
 func diffConfigs(ctx context.Context, command *cli.Command) error {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -129,15 +129,6 @@
 	}
 }
 
-// newLogger returns a logger that writes one JSON object a line. Nothing is sampled: the programs write few lines.
-func newLogger(out io.Writer, level zapcore.Level) *zap.Logger {
-	config := zap.NewProductionEncoderConfig()
-	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	config.EncodeDuration = zapcore.StringDurationEncoder
-	encoder := zapcore.NewJSONEncoder(config)
-	return zap.New(zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(out)), level))
-}
-
 // revision tells what the program was built from.
 func revision() string {
 	info, ok := debug.ReadBuildInfo()
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"testing"
 
+	"github.com/rotisserie/eris"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -63,6 +64,17 @@
 	assert.Equal(t, "a-1", line["node"])
 }
 
+func TestErrorsAreLoggedWithoutTheirStacks(t *testing.T) {
+	var printed bytes.Buffer
+	fault := eris.Wrap(eris.New("refused"), "dial")
+	newLogger(&printed, zap.InfoLevel).With(zap.Error(fault)).Warn("no answer", zap.NamedError("cause", fault), zap.Int("tries", 2))
+	var line map[string]any
+	require.NoError(t, json.Unmarshal(printed.Bytes(), &line))
+	delete(line, "ts")
+	want := map[string]any{"level": "warn", "msg": "no answer", "error": "dial: refused", "cause": "dial: refused", "tries": 2.0}
+	assert.Equal(t, want, line)
+}
+
 func TestLogLevel(t *testing.T) {
 	useSettings(t, usable)
 	var program testProgram
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -83,7 +83,7 @@
 	case reply.status == http.StatusOK:
 		return nil
 	case reply.status == http.StatusPreconditionFailed || reply.status == http.StatusConflict:
-		return eris.Wrap(ErrConflict, reply.text())
+		return eris.Wrapf(ErrConflict, "status %d", reply.status)
 	}
 	return reply.refusal()
 }
