A fleet on one machine: processes at loopback IPs, a small site, end-to-end tests

Controllers, agents and routers run as built, between the stand-ins. Calm path, change of configuration, killed controller, draining and dying workers, lost acknowledgements, a race of operators and SIGTERM of a router.

--- /dev/null
+++ b/internal/standin/fleet/fleet_test.go
@@ -0,0 +1,376 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"weldscale/internal/standin/client"
+	"weldscale/internal/standin/llmworker"
+	"weldscale/internal/standin/operator"
+)
+
+// programs is where TestMain builds the fleet's programs.
+var programs string
+
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+
+func buildAndRun(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "weldfleet-programs-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	build := exec.Command("go", "build", "-o", directory+string(filepath.Separator), "weldscale/cmd/weldrouter", "weldscale/cmd/weldagent",
+		"weldscale/cmd/weldcontroller")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	programs = directory
+	return m.Run()
+}
+
+// bed is a fleet that serves the small site, with clients.
+type bed struct {
+	*Fleet
+	t       *testing.T
+	ctx     context.Context
+	workers SmallWorkers
+	books   *client.Books
+	stop    context.CancelFunc
+	crowds  sync.WaitGroup
+}
+
+const (
+	testTimeout  = 30 * time.Second
+	graceTimeout = 8 * time.Second
+	// inForceWithin is the bound from an acknowledgement until every router acts on it.
+	inForceWithin = 2 * time.Second
+)
+
+// newBed starts a fleet with workers and its first configuration, and waits until all routers take clients.
+func newBed(t *testing.T, options Options) *bed {
+	t.Helper()
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	t.Cleanup(cancel)
+	options.Programs = programs
+	f, err := Start(options)
+	require.NoError(t, err)
+	b := &bed{Fleet: f, t: t, ctx: ctx, books: client.NewBooks()}
+	t.Cleanup(b.end)
+	b.workers, err = f.AddSmallWorkers()
+	require.NoError(t, err)
+	b.replace(0, SmallConfig(1))
+	require.NoError(t, f.AwaitReady(ctx, len(f.Routers)))
+	b.awaitServed(SmallKinds()...)
+	return b
+}
+
+// end stops the fleet and shows the programs' logs where the test failed.
+func (b *bed) end() {
+	if b.stop != nil {
+		b.stop()
+		b.crowds.Wait()
+	}
+	b.Close()
+	if b.t.Failed() {
+		_ = b.each(func(process *Process) error { b.t.Logf("%s:\n%s", process.Name, process.Log()); return nil })
+	}
+}
+
+// replace sends a configuration, which must be taken.
+func (b *bed) replace(base int64, config operator.Config) {
+	b.t.Helper()
+	status, err := b.Operator.Replace(b.ctx, base, config)
+	require.NoError(b.t, err)
+	require.Equal(b.t, http.StatusOK, status)
+}
+
+// crowd is a crowd of the bed that connects as pick says.
+func (b *bed) crowd(name, zone string, pick client.Picker, kinds []*client.Kind) *client.Crowd {
+	return &client.Crowd{Name: name, Zone: zone, Seed: 1, Pick: pick, Judge: b.Judge, Kinds: kinds, OnResult: b.books.Add}
+}
+
+// load starts a crowd in each zone.
+func (b *bed) load(kinds []*client.Kind) {
+	ctx, stop := context.WithCancel(b.ctx)
+	b.stop = stop
+	for _, zone := range b.options.Zones {
+		crowd := b.crowd("in-"+zone, zone, b.Entry.Pick, kinds)
+		b.crowds.Go(func() { crowd.Run(ctx) })
+	}
+}
+
+// unload stops the crowds and waits for their last answers.
+func (b *bed) unload() {
+	b.stop()
+	b.crowds.Wait()
+	b.stop = nil
+}
+
+// awaitSent waits until that many more requests have ended.
+func (b *bed) awaitSent(more int) {
+	b.t.Helper()
+	for until := b.books.Total().Sent + more; ; {
+		news := b.books.News()
+		if b.books.Total().Sent >= until {
+			return
+		}
+		select {
+		case <-news:
+		case <-b.ctx.Done():
+			require.NoError(b.t, b.ctx.Err(), "books: %v", b.books.Total())
+		}
+	}
+}
+
+// awaitServed waits until every router serves these kinds of requests, by trying: nothing else tells a client.
+func (b *bed) awaitServed(kinds ...*client.Kind) {
+	b.t.Helper()
+	for _, frontend := range b.Frontends() {
+		for _, kind := range kinds {
+			b.await(fmt.Sprintf("%s serves %s", frontend, kind.Name), func() bool {
+				return b.sendTo(frontend, kind).Outcome <= client.Late
+			})
+		}
+	}
+}
+
+var probes counter
+
+// sendTo sends one request to one router, outside the books.
+func (b *bed) sendTo(frontend string, kind *client.Kind) client.Result {
+	crowd := b.crowd("probe", "", func(string, uint64, int) string { return frontend }, nil)
+	crowd.OnResult = nil
+	once := *kind
+	once.Retries = 0
+	return crowd.Send(&once, fmt.Sprintf("probe-%d", probes.next()), 1)
+}
+
+// await tries something that has no channel until it is so.
+func (b *bed) await(what string, so func() bool) {
+	b.t.Helper()
+	every := time.NewTicker(20 * time.Millisecond)
+	defer every.Stop()
+	for !so() {
+		select {
+		case <-every.C:
+		case <-b.ctx.Done():
+			require.Fail(b.t, "never: "+what)
+		}
+	}
+}
+
+// noBreach checks that no rule was broken.
+func (b *bed) noBreach() {
+	b.t.Helper()
+	require.Empty(b.t, b.Judge.Report())
+}
+
+// counter numbers things.
+type counter struct {
+	mu sync.Mutex
+	n  int
+}
+
+func (c *counter) next() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.n++
+	return c.n
+}
+
+func kindNamed(name string) *client.Kind {
+	for _, kind := range SmallKinds() {
+		if kind.Name == name {
+			return kind
+		}
+	}
+	panic("no kind " + name)
+}
+
+func TestACalmFleetServesEverything(t *testing.T) {
+	b := newBed(t, Options{})
+	b.load(SmallKinds())
+	b.awaitSent(600)
+	b.unload()
+	total := b.books.Total()
+	require.Equal(t, total.Sent, total.Served+total.Late, total.String())
+	require.Positive(t, b.workers.Decode[0].Stats().Fetched+b.workers.Decode[1].Stats().Fetched, "prompts are handed over")
+	b.noBreach()
+}
+
+func TestAConfigurationIsInForceEverywhereInTime(t *testing.T) {
+	b := newBed(t, Options{Routers: 3})
+	kinds := SmallKinds()
+	for _, kind := range kinds {
+		if kind.Name == KindCard || kind.Name == KindNotice {
+			kind.Services = []string{ServicePlain, ServiceOther}
+		}
+	}
+	b.load(kinds)
+	b.awaitSent(100)
+
+	next := SmallConfig(7)
+	for i := range next.Routes {
+		if next.Routes[i].Service == ServicePlain {
+			next.Routes[i].Service = ServiceOther
+		}
+	}
+	added := *kindNamed(KindCard)
+	added.Name, added.Services = "added", []string{ServiceOther}
+	added.Route.Name, added.Route.PathPrefix, added.Route.Service = "r-added", "/added/", ServiceOther
+	next.Routes = append(next.Routes, added.Route)
+	for _, frontend := range b.Frontends() {
+		require.Equal(t, http.StatusNotFound, b.sendTo(frontend, &added).Status, "a route that isn't there yet")
+	}
+	b.replace(1, next)
+	acknowledged := time.Now()
+	b.awaitServed(&added)
+	require.Less(t, time.Since(acknowledged), inForceWithin)
+	moved := *kindNamed(KindCard)
+	moved.Services = []string{ServiceOther} // the judge reports a run at the old service
+	for _, frontend := range b.Frontends() {
+		require.LessOrEqual(t, b.sendTo(frontend, &moved).Outcome, client.Late)
+	}
+	b.awaitSent(100)
+	b.unload()
+	total := b.books.Total()
+	require.Equal(t, total.Sent, total.Served+total.Late, total.String())
+	b.noBreach()
+}
+
+func TestAControllerIsKilled(t *testing.T) {
+	b := newBed(t, Options{})
+	b.load(SmallKinds())
+	b.awaitSent(100)
+	b.Controllers[0].Kill()
+	next := SmallConfig(2)
+	added := *kindNamed(KindCard)
+	added.Route.Name, added.Route.PathPrefix = "r-added", "/added/"
+	next.Routes = append(next.Routes, added.Route)
+	b.replace(1, next)
+	b.awaitServed(&added)
+	require.NoError(t, b.Controllers[0].Start())
+	b.await("the killed controller answers", func() bool {
+		only := operator.New(func() []string { return b.Controls()[:1] })
+		ctx, cancel := context.WithTimeout(b.ctx, time.Second)
+		defer cancel()
+		config, err := only.Read(ctx)
+		return err == nil && config.Version == 2
+	})
+	b.unload()
+	total := b.books.Total()
+	require.Equal(t, total.Sent, total.Served+total.Late, total.String())
+	b.noBreach()
+}
+
+func TestADrainingWorkerGetsNothingNew(t *testing.T) {
+	options := Options{}
+	options.setDefaults()
+	options.Bounds.DrainWithin = time.Second // stricter than the deployments' 3 s
+	b := newBed(t, options)
+	b.load(SmallKinds())
+	b.awaitSent(100)
+	b.DrainWorker(b.workers.Decode[0])
+	b.DrainWorker(b.workers.Prefill[0])
+	b.DrainWorker(b.workers.Plain[0])
+	drained := time.Now()
+	b.await("the bound is over", func() bool { return time.Since(drained) > 2*options.Bounds.DrainWithin })
+	for _, worker := range []*llmworker.Worker{b.workers.Decode[0], b.workers.Prefill[0], b.workers.Plain[0]} {
+		b.Platform.Remove(worker.ID())
+		worker.Stop()
+	}
+	b.awaitSent(100)
+	b.unload()
+	total := b.books.Total()
+	require.Equal(t, total.Sent, total.Served+total.Late, total.String())
+	b.noBreach()
+}
+
+func TestAWorkerDiesWithinStreams(t *testing.T) {
+	b := newBed(t, Options{})
+	const ofEach = 10
+	crowd := b.crowd("in", b.options.Zones[0], b.Entry.Pick, nil)
+	var streams sync.WaitGroup
+	for i := range ofEach {
+		for _, name := range []string{KindDraft, KindVerdict} {
+			long := *kindNamed(name)
+			long.Output, long.Retries = 400, 0
+			streams.Go(func() { crowd.Send(&long, fmt.Sprintf("%s-%d", name, i), uint64(i)) })
+		}
+	}
+	dead := b.workers.Decode[0]
+	b.await("half of the streams run on one worker", func() bool { return dead.Running() >= ofEach-1 })
+	dead.Crash()
+	streams.Wait()
+	b.Platform.Remove(dead.ID())
+	draft, verdict := b.books.Row(KindDraft), b.books.Row(KindVerdict)
+	require.Positive(t, draft.Cut, draft.String())
+	require.Equal(t, draft.Sent, draft.Cut+draft.Served+draft.Late, draft.String())
+	require.Equal(t, verdict.Sent, verdict.Served+verdict.Late, "resumable streams go on elsewhere: %v", verdict)
+	require.Positive(t, b.Judge.Joined(), "within one answer")
+	b.noBreach() // a stream that was cut and looked complete would be a breach
+}
+
+func TestALostAcknowledgementIsGivenAgainElsewhere(t *testing.T) {
+	b := newBed(t, Options{})
+	before := b.Operator.Calls()
+	b.Operator.LoseAnswers(2)
+	b.replace(1, SmallConfig(5))
+	require.Equal(t, 3, b.Operator.Calls()-before, "each controller was asked once")
+	config, err := b.Operator.Read(b.ctx)
+	require.NoError(t, err)
+	require.Equal(t, SmallConfig(5), config)
+	other := SmallConfig(6)
+	other.Limits.IdleTimeoutMs++
+	status, err := b.Operator.Replace(b.ctx, 1, other)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusPreconditionFailed, status)
+}
+
+func TestTwoOperatorsRaceAndOneWins(t *testing.T) {
+	b := newBed(t, Options{})
+	statuses := make([]int, 2)
+	var both sync.WaitGroup
+	for i := range statuses {
+		config := SmallConfig(2)
+		config.Limits.IdleTimeoutMs += int64(i)
+		both.Go(func() {
+			statuses[i], _ = operator.New(b.Controls).Replace(b.ctx, 1, config)
+		})
+	}
+	both.Wait()
+	require.ElementsMatch(t, []int{http.StatusOK, http.StatusPreconditionFailed}, statuses)
+	config, err := b.Operator.Read(b.ctx)
+	require.NoError(t, err)
+	winner := 0
+	if statuses[1] == http.StatusOK {
+		winner = 1
+	}
+	require.Equal(t, SmallConfig(2).Limits.IdleTimeoutMs+int64(winner), config.Limits.IdleTimeoutMs)
+}
+
+func TestSIGTERMOfARouterLosesNothing(t *testing.T) {
+	b := newBed(t, Options{Routers: 4})
+	kinds := SmallKinds()
+	b.load(kinds)
+	b.awaitSent(200)
+	require.NoError(t, b.Routers[0].Terminate(graceTimeout))
+	b.awaitSent(100)
+	b.unload()
+	total := b.books.Total()
+	require.Zero(t, total.Cut+total.Failed, total.String())
+	b.noBreach()
+}
--- a/internal/standin/judge/judge.go
+++ b/internal/standin/judge/judge.go
@@ -142,6 +142,7 @@
 	crashed  map[string]bool
 	orders   map[string][]order // by worker
 	found    []Violation
+	joined   int // streams whose pieces are of more than one run
 }
 
 // New returns a judge that has seen nothing.
@@ -325,6 +326,9 @@
 			j.find(Order, "%s: pieces of two runs are joined", r.ID)
 			return
 		}
+		if i > 0 && piece.Stamp != answer.Pieces[i-1].Stamp {
+			j.joined++
+		}
 		next = piece.To + 1
 	}
 	if n := len(answer.Pieces); answer.Complete && (n == 0 || answer.Pieces[n-1].To != answer.Pieces[n-1].Total) {
@@ -341,6 +345,13 @@
 	return append(out, j.checkBudget()...)
 }
 
+// Joined is how often a stream went on, within one answer, with the pieces of another run.
+func (j *Judge) Joined() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.joined
+}
+
 // Report is Violations as text, or empty.
 func (j *Judge) Report() string {
 	var text []string
--- a/internal/standin/llmworker/worker.go
+++ b/internal/standin/llmworker/worker.go
@@ -111,6 +111,12 @@
 // Probes is how often it was asked for its report or its health.
 func (w *Worker) Probes() int { return int(w.probes.Load()) }
 
+// Running is how many requests it works on.
+func (w *Worker) Running() int {
+	running, _, _ := w.load()
+	return running
+}
+
 // Stats returns the engine's counts; of a plain worker, none.
 func (w *Worker) Stats() engine.Stats {
 	if w.driver == nil {
