Lease: a stronger simulation; a member claims only while it hears a majority

At a first start every member took itself for the only one and all claimed the role at once. The simulation now cuts single directions, delays replies and lets anybody claim at any time.

--- a/coordination/lease/claim.go
+++ b/coordination/lease/claim.go
@@ -8,7 +8,7 @@
 // Claims returns the roles that this member should take now. A claim is returned once; it is due again when nothing has
 // come of it within the bound of silence.
 func (d *Decider) Claims(now time.Duration) []Claim {
-	if d.leaving || !d.healthy || !slices.Contains(d.voters, d.self.Address) {
+	if d.leaving || !d.healthy || !slices.Contains(d.voters, d.self.Address) || !d.hearsMajority(now) {
 		return nil
 	}
 	var claims []Claim
@@ -22,6 +22,19 @@
 	return claims
 }
 
+// hearsMajority reports whether more than half of the voters, this member included, were heard lately. Before that, every
+// member of a group that starts would take itself for the only one.
+func (d *Decider) hearsMajority(now time.Duration) bool {
+	count := 1
+	for _, address := range d.voters {
+		other := d.peers[address]
+		if address != d.self.Address && other != nil && now-other.heardAt < d.timing.Silence {
+			count++
+		}
+	}
+	return count > len(d.voters)/2
+}
+
 func (d *Decider) due(now time.Duration, known *role) bool {
 	if !d.isVacant(now, known) {
 		known.vacant = false
--- a/coordination/lease/simulation_test.go
+++ b/coordination/lease/simulation_test.go
@@ -27,6 +27,7 @@
 	members map[string]*simulated
 	record  Record
 	flying  []flight
+	mute    map[[2]string]time.Duration // until when nothing goes from the one to the other
 }
 
 // simulated is one member. Its steady clock has a reading of its own.
@@ -48,6 +49,7 @@
 func newSimulation(t *rapid.T) *simulation {
 	seed := rapid.Uint64().Draw(t, "seed")
 	s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), members: make(map[string]*simulated)}
+	s.mute = make(map[[2]string]time.Duration)
 	count := rapid.SampledFrom([]int{3, 5}).Draw(t, "members")
 	for i := range count {
 		address := "m" + strconv.Itoa(i)
@@ -80,9 +82,12 @@
 	if s.members[from].cut || s.members[to].cut || (!s.calm && s.draw(0, 19) == 0) {
 		return
 	}
+	if s.now < s.mute[[2]string{from, to}] {
+		return
+	}
 	delay := time.Duration(s.draw(1, 30)) * simulatedStep / 2
-	if !s.calm && s.draw(0, 29) == 0 {
-		delay += time.Second
+	if !s.calm && s.draw(0, 9) == 0 {
+		delay += time.Duration(s.draw(0, 150)) * simulatedStep
 	}
 	life := s.members[to].life
 	s.flying = append(s.flying, flight{at: s.now + delay, from: from, to: to, act: func(member *simulated) {
@@ -127,12 +132,12 @@
 
 // trouble draws what befalls the group in this step.
 func (s *simulation) trouble() {
-	if s.draw(0, 59) != 0 {
+	if s.draw(0, 29) != 0 {
 		return
 	}
 	address := s.voters[s.draw(0, len(s.voters)-1)]
 	member := s.members[address]
-	switch s.draw(0, 3) {
+	switch s.draw(0, 5) {
 	case 0:
 		member.thawsAt = s.now + time.Duration(s.draw(1, 200))*simulatedStep
 	case 1:
@@ -141,6 +146,11 @@
 		s.start(address, false)
 	case 3:
 		member.decider.Release()
+	case 4:
+		s.mute[[2]string{address, s.voters[s.draw(0, len(s.voters)-1)]}] = s.now + 2*time.Second
+	case 5:
+		// Safety must not hang on when a claim is made: anybody takes the role at any time.
+		s.claim(address, Claim{Key: key, Previous: s.record.Token}, member.decider.self)
 	}
 }
 
@@ -181,7 +191,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t)
 		highest := uint64(0)
-		for number := range rapid.IntRange(100, 800).Draw(t, "steps") {
+		for number := range 1500 {
 			s.trouble()
 			s.step(number)
 			tokens := s.holding()
@@ -198,12 +208,13 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t)
 		number := 0
-		for range rapid.IntRange(0, 400).Draw(t, "steps") {
+		for range s.draw(0, 800) {
 			s.trouble()
 			s.step(number)
 			number++
 		}
 		s.calm = true
+		clear(s.mute)
 		for _, address := range s.voters {
 			member := s.members[address]
 			member.cut = false
--- a/internal/controller/lists.go
+++ b/internal/controller/lists.go
@@ -70,7 +70,7 @@
 	l.list = list
 	l.confirmed = confirmed
 	if err := l.hub.PublishInstances(version, list); err != nil {
-		l.log.Error("the list of instances could not be published", zap.Error(err))
+		l.log.Error("the list of instances could not be published", zap.String("cause", err.Error()))
 	}
 	l.hub.ConfirmInstances(confirmed)
 }
--- a/internal/controller/publish.go
+++ b/internal/controller/publish.go
@@ -31,7 +31,7 @@
 	c.roster.setReplicas(replicas)
 	state, err := decodeState(latest.Data)
 	if err != nil {
-		c.log.Error("the register's state could not be read", zap.Error(err))
+		c.log.Error("the register's state could not be read", zap.String("cause", err.Error()))
 		return
 	}
 	c.leases.with(func(decider *lease.Decider, now time.Duration) { decider.Learn(now, replicas, state.Roles) })
@@ -48,7 +48,7 @@
 		err = c.hub.PublishConfig(state.Changes, config)
 	}
 	if err != nil {
-		c.log.Error("the configuration could not be published", zap.Int64("version", state.Version), zap.Error(err))
+		c.log.Error("the configuration could not be published", zap.Int64("version", state.Version), zap.String("cause", err.Error()))
 		return
 	}
 	c.published.Store(state.Changes)
--- a/internal/instances/poller.go
+++ b/internal/instances/poller.go
@@ -93,7 +93,7 @@
 
 func (p *Poller) complain(failures int, err error) {
 	if failures == 1 {
-		p.log.Warn("the list of instances could not be read", zap.Error(err))
+		p.log.Warn("the list of instances could not be read", zap.String("cause", err.Error()))
 	}
 }
 
