Register: a proposal in doubt is refuted only by a value chosen above it

The model test found an operation that ended as if nothing could be chosen, while another proposer completed its proposal later: promises of a majority do not refute it. Decoding a record no longer writes into the founders' slice, the upkeep wakes rarely while all is settled, and a node that lost its majority asks seeds and strangers.

--- a/coordination/register/durable.go
+++ b/coordination/register/durable.go
@@ -54,10 +54,14 @@
 	if _, err := loadRecord(d.promise, &promised); err != nil {
 		return nil, err
 	}
-	accepted := mark.first()
-	if _, err := loadRecord(d.value, &accepted); err != nil {
+	var accepted Accepted // fresh: decoding would write into the founders' slice
+	found, err = loadRecord(d.value, &accepted)
+	if err != nil {
 		return nil, err
 	}
+	if !found {
+		accepted = mark.first()
+	}
 	return NewAcceptor(Replica{ID: mark.ID, Address: address}, promised, accepted), nil
 }
 
--- a/coordination/register/node.go
+++ b/coordination/register/node.go
@@ -84,9 +84,7 @@
 	mark := identity{ID: randomID()}
 	if n.options.Bootstrap && slices.Contains(n.options.Founders, n.options.Address) {
 		mark.ID = FounderID(n.options.Address)
-		mark.Founders = lo.Map(n.options.Founders, func(address string, _ int) Replica {
-			return Replica{ID: FounderID(address), Address: address}
-		})
+		mark.Founders = foundingSet(n.options.Founders)
 	}
 	n.writing <- struct{}{}
 	acceptor, err := n.disk.mark(mark, n.options.Address)
@@ -100,6 +98,14 @@
 	return true
 }
 
+// foundingSet is the same on all founders, whatever the order in which they were told of each other.
+func foundingSet(addresses []string) []Replica {
+	ordered := slices.Sorted(slices.Values(lo.Uniq(addresses)))
+	return lo.Map(ordered, func(address string, _ int) Replica {
+		return Replica{ID: FounderID(address), Address: address}
+	})
+}
+
 // learnGenesis learns the founders' first state, which is chosen by definition.
 func (n *Node) learnGenesis() {
 	if known, _ := n.known(); known.Ballot == genesisBallot {
@@ -148,6 +154,7 @@
 	n.chosen = chosen
 	n.ballots.Saw(chosen.Ballot)
 	if moved {
+		n.wake()
 		close(n.changed)
 		n.changed = make(chan struct{})
 	}
--- a/coordination/register/node_test.go
+++ b/coordination/register/node_test.go
@@ -95,6 +95,7 @@
 	m.cancel()
 	_ = m.server.Close()
 	<-m.ended
+	m.node.writing <- struct{}{} // and keeps it: a process that has ended writes no more
 	m.options.Client.Close()
 	m.cancel = nil
 	m.options.Bootstrap = false
--- a/coordination/register/peers.go
+++ b/coordination/register/peers.go
@@ -12,6 +12,9 @@
 const (
 	heartbeatTimeout = 600 * time.Millisecond
 	learnTimeout     = 1500 * time.Millisecond
+	// lostAfter is how long a majority may be out of reach before others are asked, too: the set may have moved on without
+	// this node, to machines that it has never heard of.
+	lostAfter = time.Second
 	// missesForSilence is the number of calls in a row without an answer that make a replica silent, however long they
 	// took: a process that was frozen finds all its calls timed out once.
 	missesForSilence = 3
@@ -131,7 +134,7 @@
 func (n *Node) heartbeat() {
 	known, _ := n.known()
 	addresses := lo.Map(known.Value.Members(), func(r Replica, _ int) string { return r.Address })
-	if len(addresses) == 0 || !known.Value.Has(n.ID()) {
+	if !known.Value.Has(n.ID()) || n.QuorumAge() > lostAfter {
 		addresses = append(addresses, n.options.Seeds()...)
 		addresses = append(addresses, n.strangers()...)
 	}
@@ -142,13 +145,10 @@
 	}
 }
 
-// strangers returns who asked this node. While it knows no set, they may.
+// strangers returns who asked this node. They may know a set, or a newer one.
 func (n *Node) strangers() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.chosen.Ballot != (Ballot{}) {
-		return nil
-	}
 	return lo.Keys(n.peers)
 }
 
--- a/coordination/register/proposer.go
+++ b/coordination/register/proposer.go
@@ -45,11 +45,38 @@
 	asked    map[string]bool
 	answers  map[string]Reply
 
-	doubt  *Value // an own proposal that was sent out and may yet be chosen
+	doubt  doubt
 	result Accepted
 	err    error
 }
 
+// doubt is what became of own proposals that were sent out and given up. A proposal that no majority has accepted under
+// its ballot may still be completed by anyone under a later one. Only a value chosen above it puts an end to that.
+type doubt struct {
+	origins  []Ballot // of the proposals; none: nothing is in doubt
+	highest  Ballot
+	revision uint64 // the lowest of theirs
+}
+
+func (d *doubt) add(proposal *Value) {
+	if len(d.origins) == 0 {
+		d.revision = proposal.Revision
+	}
+	d.origins = append(d.origins, proposal.Origin)
+	d.highest = proposal.Origin
+	d.revision = min(d.revision, proposal.Revision)
+}
+
+// pending reports whether one of the proposals may be chosen after the chosen value.
+func (d *doubt) pending(chosen *Accepted) bool {
+	return len(d.origins) > 0 && chosen.Ballot.Less(d.highest)
+}
+
+// refuted reports whether none of the proposals was or will be chosen. Above their revision, only the change can tell.
+func (d *doubt) refuted(chosen *Accepted) bool {
+	return !d.pending(chosen) && chosen.Value.Revision <= d.revision
+}
+
 // NewProposer returns an operation. Known is the highest value that the driver has, with the set to begin with; chosen is
 // the highest ballot that the driver knows to be chosen.
 func NewProposer(self Replica, ballots *Ballots, known Accepted, chosen Ballot, change Change) *Proposer {
@@ -70,7 +97,7 @@
 }
 
 // InDoubt reports whether an own proposal may yet be chosen without this operation knowing.
-func (p *Proposer) InDoubt() bool { return p.doubt != nil || p.phase == accepting }
+func (p *Proposer) InDoubt() bool { return len(p.doubt.origins) > 0 || p.phase == accepting }
 
 // Result returns the end of an operation that is done: the chosen value, and the error of the change if it gave one.
 func (p *Proposer) Result() (Accepted, error) { return p.result, p.err }
@@ -158,10 +185,8 @@
 
 // propose decides what to send out, now that a majority of the set of the base has promised.
 func (p *Proposer) propose() Output {
-	p.settleDoubt()
 	if !p.baseIsChosen() {
-		p.proposal = p.base.Value
-		return p.accept(completing)
+		return p.complete()
 	}
 	return p.onChosen(true)
 }
@@ -179,15 +204,21 @@
 
 // onChosen goes on from a base that is chosen: with the change, if there is a promise to use for it, else with a ballot.
 func (p *Proposer) onChosen(promised bool) Output {
-	if p.doubt != nil && p.doubt.Origin == p.base.Value.Origin {
-		return p.end(p.base, nil)
+	if slices.Contains(p.doubt.origins, p.base.Value.Origin) {
+		return p.end(p.base, nil) // the own proposal was chosen after all
+	}
+	if p.doubt.refuted(&p.base) {
+		p.doubt = doubt{}
 	}
 	next, err := p.change(p.base.Value)
-	if err != nil || sameContent(&next, &p.base.Value) {
+	nothing := err != nil || sameContent(&next, &p.base.Value)
+	switch {
+	case nothing && !p.doubt.pending(&p.base):
 		return p.end(p.base, err)
-	}
-	if !promised {
+	case !promised:
 		return p.prepare()
+	case nothing:
+		return p.complete() // chosen anew above the proposals in doubt, the base puts an end to them
 	}
 	next.Revision = p.base.Value.Revision + 1
 	next.DataRevision = p.base.Value.DataRevision
@@ -203,6 +234,12 @@
 	return bytes.Equal(a.Data, b.Data) && slices.Equal(a.Replicas, b.Replicas) && slices.Equal(a.Previous, b.Previous)
 }
 
+// complete sends the base out again under the own ballot.
+func (p *Proposer) complete() Output {
+	p.proposal = p.base.Value
+	return p.accept(completing)
+}
+
 func (p *Proposer) accept(as phase) Output {
 	p.phase = as
 	p.asked = map[string]bool{}
@@ -239,7 +276,7 @@
 
 func (p *Proposer) end(result Accepted, err error) Output {
 	p.phase = ended
-	p.doubt = nil
+	p.doubt = doubt{}
 	p.result, p.err = result, err
 	return Output{Done: true}
 }
@@ -247,18 +284,6 @@
 // noteDoubt remembers an own proposal that is given up while it may yet be chosen.
 func (p *Proposer) noteDoubt() {
 	if p.phase == accepting {
-		proposal := p.proposal
-		p.doubt = &proposal
-	}
-}
-
-// settleDoubt forgets a proposal that a majority, by its promises, now keeps from being chosen. If the base is above its
-// revision, it may have been chosen before the base: then only the change can tell.
-func (p *Proposer) settleDoubt() {
-	if p.doubt == nil || p.doubt.Origin == p.base.Value.Origin {
-		return
-	}
-	if p.base.Value.Revision <= p.doubt.Revision {
-		p.doubt = nil
+		p.doubt.add(&p.proposal)
 	}
 }
--- a/coordination/register/upkeep.go
+++ b/coordination/register/upkeep.go
@@ -22,11 +22,17 @@
 
 // Run keeps the node in touch and in the set until ctx is done.
 func (n *Node) Run(ctx context.Context) {
-	ticker := time.NewTicker(upkeepTick)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	var lastBeat time.Time
 	var upkeep upkeep
 	for {
+		select {
+		case <-timer.C:
+		case <-n.nudge:
+		case <-ctx.Done():
+			return
+		}
 		if time.Since(lastBeat) >= n.heartbeatInterval() {
 			lastBeat = time.Now()
 			n.heartbeat()
@@ -35,13 +41,17 @@
 			n.learnGenesis()
 			upkeep.step(ctx, n)
 		}
-		select {
-		case <-ticker.C:
-		case <-n.nudge:
-		case <-ctx.Done():
-			return
-		}
+		timer.Reset(n.pace())
+	}
+}
+
+// pace is slow while all is settled: each wake-up costs.
+func (n *Node) pace() time.Duration {
+	known, chosen := n.known()
+	if known.Ballot == chosen && known.Value.Has(n.ID()) && !known.Value.Joint() {
+		return n.options.Heartbeat
 	}
+	return upkeepTick
 }
 
 // heartbeatInterval is short while the node is not in the set.
--- a/coordination/store/disk.go
+++ b/coordination/store/disk.go
@@ -25,6 +25,9 @@
 	folder  string
 	name    string
 	version uint64 // highest version ever used, whole or not
+
+	listed bool     // older is complete
+	older  []uint64 // versions on the disk, oldest first
 }
 
 // OpenDisk opens the record called name in folder, which is made if it isn't there.
@@ -39,11 +42,10 @@
 
 // Load implements Store.
 func (d *Disk) Load() ([]byte, error) {
-	versions, err := d.list()
-	if err != nil {
+	if err := d.list(); err != nil {
 		return nil, err
 	}
-	for _, version := range slices.Backward(versions) {
+	for _, version := range slices.Backward(d.older) {
 		record, err := os.ReadFile(d.path(version))
 		if err != nil {
 			return nil, eris.Wrapf(ErrFailed, "read: %v", err)
@@ -57,11 +59,13 @@
 
 // Save implements Store.
 func (d *Disk) Save(data []byte) error {
-	versions, err := d.list()
-	if err != nil {
-		return err
+	if !d.listed {
+		if err := d.list(); err != nil {
+			return err
+		}
 	}
 	d.version++
+	d.listed = false // until all has gone well
 	aside := d.path(d.version) + asideSuffix
 	if err := writeSynced(aside, encodeHeader(d.version, data), data); err != nil {
 		_ = os.Remove(aside)
@@ -74,19 +78,29 @@
 	if err := syncFolder(d.folder); err != nil {
 		return typed(err, "sync folder")
 	}
-	for _, old := range versions {
-		_ = os.Remove(d.path(old)) // one that stays is removed by the next Save
-	}
+	d.listed = d.removeOlder()
+	d.older = []uint64{d.version}
 	return nil
 }
 
-// list returns the versions there are, oldest first, and removes what was left aside.
-func (d *Disk) list() ([]uint64, error) {
+// removeOlder reports whether all went. What stays is removed by the next Save.
+func (d *Disk) removeOlder() bool {
+	all := true
+	for _, version := range d.older {
+		if err := os.Remove(d.path(version)); err != nil {
+			all = false
+		}
+	}
+	return all
+}
+
+// list finds the versions there are, and removes what was left aside.
+func (d *Disk) list() error {
 	entries, err := os.ReadDir(d.folder)
 	if err != nil {
-		return nil, eris.Wrapf(ErrFailed, "list: %v", err)
+		return eris.Wrapf(ErrFailed, "list: %v", err)
 	}
-	var versions []uint64
+	d.older = nil
 	for _, entry := range entries {
 		rest, ours := strings.CutPrefix(entry.Name(), d.name+".")
 		if !ours {
@@ -102,10 +116,11 @@
 			_ = os.Remove(filepath.Join(d.folder, entry.Name()))
 			continue
 		}
-		versions = append(versions, version)
+		d.older = append(d.older, version)
 	}
-	slices.Sort(versions)
-	return versions, nil
+	slices.Sort(d.older)
+	d.listed = true
+	return nil
 }
 
 func (d *Disk) path(version uint64) string {
