--- a/coordination/lease/decider.go
+++ b/coordination/lease/decider.go
@@ -73,12 +73,17 @@
 func (d *Decider) Learn(now time.Duration, voters []string, records map[string]Record) {
 	d.voters = slices.Clone(voters)
 	for key, record := range records {
+		d.voter.saw(key, record.Token)
 		if known, ok := d.roles[key]; ok && record.Token > known.record.Token {
 			known.change(now, record)
 		}
 	}
 }
 
+// Synced tells that what was learned comes from a linearizable read of the register that began after the start of this
+// member. Before it, this member grants nothing: it has forgotten which tokens it was asked for.
+func (d *Decider) Synced() { d.voter.synced = true }
+
 func (r *role) change(now time.Duration, record Record) {
 	r.record = record
 	r.lastSign = now
--- a/coordination/lease/decider_test.go
+++ b/coordination/lease/decider_test.go
@@ -27,6 +27,9 @@
 		set.deciders[address] = New(Member{address, "1"}, []string{key}, timing, 0, true)
 	}
 	set.learn()
+	for _, decider := range set.deciders {
+		decider.Synced()
+	}
 	return set
 }
 
@@ -150,6 +153,7 @@
 	holder, _ := set.settle()
 	set.deciders[holder] = New(Member{holder, "2"}, []string{key}, timing, set.now, false)
 	set.learn()
+	set.deciders[holder].Synced()
 	claiming := set.round(set.voters, set.voters)
 	require.NotEmpty(t, claiming)
 	set.take(claiming[0])
@@ -170,12 +174,17 @@
 
 func TestAVoterThatStartedAnewGrantsNothingYet(t *testing.T) {
 	restarted := newVoter(timing.Grant, timing.Grant)
+	require.False(t, restarted.ask(timing.Grant, Ask{key, 7}), "not read from the register")
+	restarted.synced = true
 	require.False(t, restarted.ask(timing.Grant-1, Ask{key, 7}))
 	require.True(t, restarted.ask(timing.Grant, Ask{key, 7}))
+	restarted.saw(key, 8)
+	require.False(t, restarted.ask(timing.Grant, Ask{key, 7}))
 }
 
 func TestAVoterGrantsOneTokenAtATime(t *testing.T) {
 	member := newVoter(timing.Grant, 0)
+	member.synced = true
 	require.True(t, member.ask(0, Ask{key, 1}))
 	require.True(t, member.ask(100, Ask{key, 1}))
 	require.False(t, member.ask(200, Ask{key, 2}), "granted to 1")
--- a/coordination/lease/simulation_test.go
+++ b/coordination/lease/simulation_test.go
@@ -71,6 +71,7 @@
 	self := Member{Address: address, Life: fmt.Sprint(member.life)}
 	member.decider = New(self, []string{key}, timing, s.now+member.offset, fresh)
 	s.learn(address, s.record)
+	member.decider.Synced()
 }
 
 func (s *simulation) learn(address string, record Record) {
--- a/coordination/lease/voter.go
+++ b/coordination/lease/voter.go
@@ -3,10 +3,11 @@
 import "time"
 
 // voter is the part of a member that grants roles to others. It remembers grants in memory only: after a start it grants
-// nothing until those of its former life have run out.
+// nothing until those of its former life have run out, and until it has read from the register which tokens there are.
 type voter struct {
 	grant    time.Duration
 	mutedTil time.Duration
+	synced   bool
 	grants   map[string]grant
 }
 
@@ -28,7 +29,7 @@
 	}
 	current.highest = ask.Token
 	taken := current.token != ask.Token && now < current.until
-	granted := !taken && now >= v.mutedTil
+	granted := !taken && v.synced && now >= v.mutedTil
 	if granted {
 		current.token = ask.Token
 		current.until = now + v.grant
@@ -37,6 +38,13 @@
 	return granted
 }
 
+// saw notes that a token is in the register: none below it is granted any more.
+func (v *voter) saw(key string, token uint64) {
+	current := v.grants[key]
+	current.highest = max(current.highest, token)
+	v.grants[key] = current
+}
+
 // release ends the grant of the role, if it was given under the token.
 func (v *voter) release(now time.Duration, released Ask) {
 	current := v.grants[released.Key]
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,7 +44,10 @@
 	beatNow   chan struct{}
 	fetching  atomic.Bool
 	catching  atomic.Bool
-	published atomic.Uint64 // number of the newest configuration that was published
+
+	publishing sync.Mutex
+	revision   uint64 // of the newest state that was published
+	published  uint64 // number of the newest configuration that was published
 }
 
 func newController(
--- a/internal/controller/publish.go
+++ b/internal/controller/publish.go
@@ -11,6 +11,9 @@
 	"weldscale/internal/fleetconfig"
 )
 
+// syncPause separates the tries of the first read.
+const syncPause = 50 * time.Millisecond
+
 // followRegister passes each newly chosen state on to the watchers and the leases until the context is done.
 func (c *controller) followRegister(ctx context.Context) {
 	for {
@@ -26,7 +29,31 @@
 	}
 }
 
+// sync reads the register once after the start. From then on this controller votes on roles.
+func (c *controller) sync(ctx context.Context) {
+	for {
+		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+		state, err := c.node.Read(attempt)
+		cancel()
+		if err == nil {
+			c.publish(state)
+			c.leases.with(func(decider *lease.Decider, _ time.Duration) { decider.Synced() })
+			return
+		}
+		if !pause(ctx, syncPause) {
+			return
+		}
+	}
+}
+
+// publish takes a chosen state, if it is not older than the last one.
 func (c *controller) publish(latest register.State) {
+	c.publishing.Lock()
+	defer c.publishing.Unlock()
+	if latest.Revision < c.revision {
+		return
+	}
+	c.revision = latest.Revision
 	replicas := replicaAddresses(latest)
 	c.roster.setReplicas(replicas)
 	state, err := decodeState(latest.Data)
@@ -40,7 +67,7 @@
 }
 
 func (c *controller) publishConfig(state controlState) {
-	if state.Changes <= c.published.Load() {
+	if state.Changes <= c.published {
 		return
 	}
 	config, err := fleetconfig.Parse(state.Config)
@@ -51,6 +78,6 @@
 		c.log.Error("the configuration could not be published", zap.Int64("version", state.Version), zap.String("cause", err.Error()))
 		return
 	}
-	c.published.Store(state.Changes)
+	c.published = state.Changes
 	c.log.Info("configuration published", zap.Int64("version", state.Version), zap.Uint64("change", state.Changes))
 }
