--- /dev/null
+++ b/coordination/register/acceptor_test.go
@@ -0,0 +1,103 @@
+package register
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+var self = Replica{ID: "me", Address: "1"}
+
+func ballot(round uint64) Ballot { return Ballot{Round: round, Proposer: 7} }
+
+func prepare(round uint64) Request { return Request{Kind: Prepare, To: self.ID, Ballot: ballot(round)} }
+
+func accept(round uint64, data string) Request {
+	value := &Value{Revision: round, Data: []byte(data)}
+	return Request{Kind: Accept, To: self.ID, Ballot: ballot(round), Value: value}
+}
+
+// finish begins a request that needs a write and says that the write is durable.
+func finish(t *testing.T, a *Acceptor, request Request) Reply {
+	t.Helper()
+	step := a.Begin(request)
+	require.NotNil(t, step.Write)
+	return a.Finish(step)
+}
+
+func TestAcceptorAnswersAfterItsWrite(t *testing.T) {
+	a := NewAcceptor(self, Ballot{}, Accepted{})
+	step := a.Begin(prepare(5))
+	require.Equal(t, ballot(5), *step.Write.Promised)
+	query := a.Begin(Request{Kind: Query}).Reply
+	require.Equal(t, Ballot{}, query.Promised, "a promise that is not durable is not told")
+	require.Equal(t, Busy, a.Begin(accept(6, "x")).Reply.Refusal)
+	reply := a.Finish(step)
+	require.Equal(t, Agreed, reply.Refusal)
+	require.Equal(t, ballot(5), reply.Promised)
+
+	step = a.Begin(accept(5, "five"))
+	require.Equal(t, "five", string(step.Write.Accepted.Value.Data))
+	require.Equal(t, Ballot{}, a.Accepted().Ballot)
+	reply = a.Finish(step)
+	require.Equal(t, Agreed, reply.Refusal)
+	require.Equal(t, ballot(5), reply.Accepted)
+	require.Equal(t, "five", string(a.Accepted().Value.Data))
+}
+
+func TestAcceptorKeepsItsPromise(t *testing.T) {
+	a := NewAcceptor(self, Ballot{}, Accepted{})
+	finish(t, a, prepare(5))
+	for _, request := range []Request{prepare(4), accept(4, "x")} {
+		step := a.Begin(request)
+		require.Nil(t, step.Write)
+		require.Equal(t, Superseded, step.Reply.Refusal)
+		require.Equal(t, ballot(5), step.Reply.Promised)
+	}
+	finish(t, a, accept(6, "six"))
+	require.Equal(t, Superseded, a.Begin(prepare(5)).Reply.Refusal, "accepting implies the promise")
+}
+
+func TestAcceptorRepeatsAnAnswerWithoutAWrite(t *testing.T) {
+	a := NewAcceptor(self, Ballot{}, Accepted{})
+	first := finish(t, a, prepare(5))
+	again := a.Begin(prepare(5))
+	require.Nil(t, again.Write)
+	require.Equal(t, first, again.Reply)
+	first = finish(t, a, accept(5, "five"))
+	again = a.Begin(accept(5, "five"))
+	require.Nil(t, again.Write)
+	require.Equal(t, first, again.Reply)
+}
+
+func TestAcceptorThatCannotWriteHasChangedNothing(t *testing.T) {
+	a := NewAcceptor(self, Ballot{}, Accepted{})
+	reply := a.Abandon(a.Begin(prepare(5)), DiskFull)
+	require.Equal(t, DiskFull, reply.Refusal)
+	require.Equal(t, Ballot{}, reply.Promised)
+	finish(t, a, prepare(3))
+}
+
+func TestAcceptorAnswersForItsIdentityOnly(t *testing.T) {
+	a := NewAcceptor(self, Ballot{}, Accepted{})
+	for _, request := range []Request{prepare(5), accept(5, "x"), {Kind: Query}} {
+		request.To = "someone else"
+		step := a.Begin(request)
+		require.Nil(t, step.Write)
+		require.Equal(t, OtherIdentity, step.Reply.Refusal)
+		require.Equal(t, self, step.Reply.From)
+	}
+	require.Equal(t, Agreed, a.Begin(Request{Kind: Query}).Reply.Refusal)
+}
+
+func TestAcceptorSendsItsValueOnlyToWhoLacksIt(t *testing.T) {
+	a := NewAcceptor(self, ballot(2), Accepted{Ballot: ballot(4), Value: Value{Data: []byte("four")}})
+	require.Equal(t, ballot(4), a.Begin(Request{Kind: Query}).Reply.Promised)
+	require.Nil(t, a.Begin(Request{Kind: Query}).Reply.Value)
+	require.NotNil(t, a.Begin(Request{Kind: Query, WantValue: true, Known: ballot(3)}).Reply.Value)
+	require.Nil(t, a.Begin(Request{Kind: Query, WantValue: true, Known: ballot(4)}).Reply.Value)
+	knows := prepare(5)
+	knows.Known = ballot(4)
+	require.Nil(t, finish(t, a, knows).Value)
+	require.Equal(t, "four", string(finish(t, a, prepare(6)).Value.Data))
+}
--- a/coordination/register/operate.go
+++ b/coordination/register/operate.go
@@ -10,7 +10,9 @@
 )
 
 const (
-	firstBackoff = 16 * time.Millisecond
+	// leastBackoff is what a replica usually takes to write and answer.
+	leastBackoff = 15 * time.Millisecond
+	firstBackoff = 20 * time.Millisecond
 	maxBackoff   = 400 * time.Millisecond
 	// callTimeout is above the time-out of a round: a slow replica may still take what the others have decided.
 	callTimeout = 2 * time.Second
@@ -116,7 +118,7 @@
 			return true
 		}
 		if output.Retry {
-			timer.Reset(rand.N(backoff))
+			timer.Reset(leastBackoff + rand.N(backoff))
 			backoff = min(2*backoff, maxBackoff)
 		}
 		select {
--- /dev/null
+++ b/coordination/register/plan_test.go
@@ -0,0 +1,84 @@
+package register
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func planner(id string, silent map[string]time.Duration) membership {
+	return membership{
+		self: replicas(id)[0], target: 3, most: 6, removeAfter: time.Second,
+		silence: func(r Replica) time.Duration { return silent[r.ID] },
+	}
+}
+
+func TestPlans(t *testing.T) {
+	cases := map[string]struct {
+		planner membership
+		set     []Replica
+		want    []Replica // nil: no change
+	}{
+		"joins":                      {planner("d", nil), replicas("a", "b"), replicas("a", "b", "d")},
+		"joins beside living ones":   {planner("d", nil), replicas("a", "b", "c"), replicas("a", "b", "c", "d")},
+		"replaces a silent one":      {planner("d", map[string]time.Duration{"b": 1}), replicas("a", "b", "c"), replicas("a", "c", "d")},
+		"replaces the longest":       {planner("d", map[string]time.Duration{"b": 1, "c": 2}), replicas("a", "b", "c"), replicas("a", "b", "d")},
+		"keeps the silent if few":    {planner("d", map[string]time.Duration{"b": 1}), replicas("a", "b"), replicas("a", "b", "d")},
+		"finds no room":              {planner("g", nil), replicas("a", "b", "c", "d", "e", "f"), nil},
+		"is content":                 {planner("a", nil), replicas("a", "b", "c"), nil},
+		"never shrinks below target": {planner("a", map[string]time.Duration{"b": time.Hour}), replicas("a", "b", "c"), nil},
+		"removes a silent one": {planner("a", map[string]time.Duration{"b": time.Hour}), replicas("a", "b", "c", "d"),
+			replicas("a", "c", "d")},
+		"waits for a short silence": {planner("a", map[string]time.Duration{"b": time.Millisecond}), replicas("a", "b", "c", "d"), nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			value := Value{Replicas: c.set}
+			next := c.planner.plan(value)
+			if c.want == nil {
+				require.Equal(t, value, next)
+				return
+			}
+			require.Equal(t, c.set, next.Previous)
+			require.ElementsMatch(t, c.want, next.Replicas)
+			require.Equal(t, next.Replicas, c.planner.plan(next).Replicas)
+			require.False(t, new(c.planner.plan(next)).Joint(), "the next step finishes the change")
+		})
+	}
+}
+
+func TestWipedDiskTakesThePlaceOfItsFormerIdentity(t *testing.T) {
+	p := planner("b", nil)
+	p.self = Replica{ID: "new", Address: "at b"}
+	next := p.plan(Value{Replicas: replicas("a", "b", "c")})
+	require.ElementsMatch(t, append(replicas("a", "c"), p.self), next.Replicas)
+}
+
+func TestLeaves(t *testing.T) {
+	p := planner("a", nil)
+	p.leaving = true
+	next := p.plan(Value{Replicas: replicas("a", "b", "c", "d")})
+	require.Equal(t, replicas("b", "c", "d"), next.Replicas)
+	few := Value{Replicas: replicas("a", "b", "c")}
+	require.Equal(t, few, p.plan(few))
+}
+
+// Whatever is silent, a set that has reached its size stays at it, and one step changes few members.
+func TestPlansNeverShrinkASetBelowItsTarget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c", "d", "e", "f", "g"}
+		set := replicas(names[:rapid.IntRange(1, 6).Draw(t, "size")]...)
+		silent := map[string]time.Duration{}
+		for _, name := range names {
+			silent[name] = time.Duration(rapid.IntRange(0, 3).Draw(t, name)) * time.Second
+		}
+		p := planner(rapid.SampledFrom(names).Draw(t, "self"), silent)
+		p.leaving = rapid.Bool().Draw(t, "leaving")
+		next := p.plan(Value{Replicas: set})
+		require.GreaterOrEqual(t, len(next.Replicas), min(len(set), p.target))
+		require.LessOrEqual(t, len(next.Replicas), max(len(set), p.most))
+		require.LessOrEqual(t, len(set)-len(next.Replicas), 1)
+	})
+}
--- a/coordination/register/proposer.go
+++ b/coordination/register/proposer.go
@@ -115,6 +115,9 @@
 	if p.phase == preparing {
 		return p.promised(reply)
 	}
+	if reply.Refusal != Agreed {
+		return p.refused(reply, &p.proposal)
+	}
 	return p.accepted()
 }
 
@@ -155,7 +158,7 @@
 		p.chosen = reply.Chosen
 	}
 	if reply.Refusal != Agreed {
-		return Output{Retry: p.hopeless(&p.base.Value)}
+		return p.refused(reply, &p.base.Value)
 	}
 	if reply.Value != nil && p.base.Ballot.Less(reply.Accepted) {
 		p.base = Accepted{Ballot: reply.Accepted, Value: *reply.Value}
@@ -163,7 +166,7 @@
 	// A newer value may have another set: its members have to promise, too.
 	messages := p.ask(Request{Kind: Prepare, Known: p.base.Ballot}, p.base.Value.Members())
 	if !p.base.Value.quorum(p.agreed) {
-		return Output{Messages: messages, Retry: p.hopeless(&p.base.Value)}
+		return Output{Messages: messages}
 	}
 	output := p.propose()
 	output.Messages = append(messages, output.Messages...)
@@ -175,6 +178,12 @@
 	return answered && answer.Refusal == Agreed
 }
 
+// refused asks for another ballot if a higher one was met, or if no majority is left. The back-off before it leaves those
+// who have not answered some time: if they make a majority, this ballot goes on.
+func (p *Proposer) refused(reply Reply, value *Value) Output {
+	return Output{Retry: reply.Refusal == Superseded || p.hopeless(value)}
+}
+
 // hopeless reports whether the refusals leave no majority.
 func (p *Proposer) hopeless(value *Value) bool {
 	return !value.quorum(func(id string) bool {
@@ -250,7 +259,7 @@
 
 func (p *Proposer) accepted() Output {
 	if !p.proposal.quorum(p.agreed) {
-		return Output{Retry: p.hopeless(&p.proposal)}
+		return Output{}
 	}
 	former := p.base.Value.Members()
 	p.base = Accepted{Ballot: p.ballot, Value: p.proposal}
--- /dev/null
+++ b/coordination/register/proposer_test.go
@@ -0,0 +1,284 @@
+package register
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/rotisserie/eris"
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/require"
+)
+
+func replicas(names ...string) []Replica {
+	return lo.Map(names, func(name string, _ int) Replica { return Replica{ID: name, Address: "at " + name} })
+}
+
+// bench holds acceptors that write at once, for a proposer under test.
+type bench struct {
+	t         *testing.T
+	acceptors map[string]*Acceptor
+	deaf      map[string]bool // replicas that get nothing
+}
+
+func newBench(t *testing.T, first Accepted, names ...string) *bench {
+	b := &bench{t: t, acceptors: map[string]*Acceptor{}, deaf: map[string]bool{}}
+	for _, replica := range replicas(names...) {
+		accepted := first
+		if !first.Value.Has(replica.ID) {
+			accepted = Accepted{}
+		}
+		b.acceptors[replica.ID] = NewAcceptor(replica, Ballot{}, accepted)
+	}
+	return b
+}
+
+// answer lets a replica take a message and returns its reply.
+func (b *bench) answer(message Message) (Reply, bool) {
+	a := b.acceptors[message.To.ID]
+	if b.deaf[message.To.ID] || a == nil || message.Request.Kind == Commit {
+		return Reply{}, false
+	}
+	step := a.Begin(message.Request)
+	if step.Write == nil {
+		return step.Reply, true
+	}
+	return a.Finish(step), true
+}
+
+// play delivers messages until none is left or the proposer wants to try again.
+func (b *bench) play(p *Proposer, output Output) Output {
+	queue := output.Messages
+	for len(queue) > 0 && !output.Done && !output.Retry {
+		message := queue[0]
+		queue = queue[1:]
+		if reply, answered := b.answer(message); answered {
+			output = p.Deliver(reply)
+			queue = append(queue, output.Messages...)
+		}
+	}
+	return output
+}
+
+func setTo(data string) Change {
+	return func(value Value) (Value, error) {
+		value.Data = []byte(data)
+		return value, nil
+	}
+}
+
+func TestProposerWritesInTwoRounds(t *testing.T) {
+	first := Genesis(replicas("a", "b", "c"))
+	b := newBench(t, first, "a", "b", "c")
+	b.deaf["c"] = true
+	p := NewProposer(Replica{ID: "a"}, NewBallots(1), first, first.Ballot, setTo("x"))
+	require.True(t, b.play(p, p.Start()).Done)
+	result, err := p.Result()
+	require.NoError(t, err)
+	require.Equal(t, "x", string(result.Value.Data))
+	require.EqualValues(t, 1, result.Value.Revision)
+	require.EqualValues(t, 1, result.Value.DataRevision)
+	require.False(t, p.InDoubt())
+	require.Equal(t, result.Ballot, b.acceptors["b"].Accepted().Ballot)
+}
+
+func TestProposerTellsEveryoneWhatIsChosen(t *testing.T) {
+	first := Genesis(replicas("a", "b", "c"))
+	b := newBench(t, first, "a", "b", "c")
+	p := NewProposer(Replica{ID: "a"}, NewBallots(1), first, first.Ballot, setTo("x"))
+	output := b.play(p, p.Start())
+	require.True(t, output.Done)
+	require.Len(t, output.Messages, 3)
+	for _, message := range output.Messages {
+		require.Equal(t, Commit, message.Request.Kind)
+		require.Nil(t, message.Request.Value)
+	}
+}
+
+func TestProposerCompletesWhatIsInDoubtBeforeItsChange(t *testing.T) {
+	first := Genesis(replicas("a", "b", "c"))
+	b := newBench(t, first, "a", "b", "c")
+	doubtful := Accepted{Ballot: ballot(3), Value: Value{Revision: 1, Origin: ballot(3), Replicas: first.Value.Replicas, Data: []byte("old")}}
+	b.acceptors["a"] = NewAcceptor(replicas("a")[0], Ballot{}, doubtful)
+	b.deaf["c"] = true
+	var seen []string
+	p := NewProposer(Replica{ID: "b"}, NewBallots(1), first, first.Ballot, func(value Value) (Value, error) {
+		seen = append(seen, string(value.Data))
+		value.Data = []byte("new")
+		return value, nil
+	})
+	output := b.play(p, p.Start())
+	for !output.Done {
+		output = b.play(p, p.Retry())
+	}
+	require.True(t, output.Done)
+	result, _ := p.Result()
+	require.EqualValues(t, 2, result.Value.Revision)
+	require.NotContains(t, seen, "", "the change saw only what was chosen")
+}
+
+func TestProposerReturnsTheErrorOfTheChange(t *testing.T) {
+	first := Genesis(replicas("a", "b", "c"))
+	b := newBench(t, first, "a", "b", "c")
+	refused := eris.New("refused")
+	p := NewProposer(Replica{ID: "a"}, NewBallots(1), first, first.Ballot, func(value Value) (Value, error) { return value, refused })
+	require.True(t, b.play(p, p.Start()).Done)
+	_, err := p.Result()
+	require.ErrorIs(t, err, refused)
+	require.Equal(t, genesisBallot, b.acceptors["a"].Accepted().Ballot)
+}
+
+func TestProposerTriesAgainAboveABallotThatItMet(t *testing.T) {
+	first := Genesis(replicas("a", "b", "c"))
+	b := newBench(t, first, "a", "b", "c")
+	for _, id := range []string{"a", "b"} {
+		b.answer(Message{To: Replica{ID: id}, Request: Request{Kind: Prepare, To: id, Ballot: ballot(50)}})
+	}
+	p := NewProposer(Replica{ID: "a"}, NewBallots(1), first, first.Ballot, setTo("x"))
+	require.True(t, b.play(p, p.Start()).Retry)
+	require.True(t, b.play(p, p.Retry()).Done)
+	result, _ := p.Result()
+	require.Greater(t, result.Ballot.Round, uint64(50))
+}
+
+// inDoubt returns a proposer whose proposal only a has accepted.
+func inDoubt(b *bench, first Accepted, change Change) *Proposer {
+	p := NewProposer(Replica{ID: "a"}, NewBallots(1), first, first.Ballot, change)
+	var accepts []Message
+	for _, message := range p.Start().Messages {
+		reply, _ := b.answer(message)
+		accepts = append(accepts, p.Deliver(reply).Messages...)
+	}
+	b.answer(accepts[0]) // its reply is lost
+	return p
+}
+
+func TestProposalInDoubtIsFoundChosen(t *testing.T) {
+	first := Genesis(replicas("a", "b", "c"))
+	b := newBench(t, first, "a", "b", "c")
+	calls := 0
+	p := inDoubt(b, first, func(value Value) (Value, error) {
+		calls++
+		value.Data = fmt.Appendf(nil, "%sx", value.Data)
+		return value, nil
+	})
+	require.True(t, p.InDoubt())
+	output := p.Retry()
+	require.True(t, p.InDoubt())
+	require.True(t, b.play(p, output).Done)
+	result, _ := p.Result()
+	require.Equal(t, "x", string(result.Value.Data))
+	require.Equal(t, 1, calls)
+	require.False(t, p.InDoubt())
+}
+
+func TestProposalInDoubtIsNotRefutedByPromises(t *testing.T) {
+	first := Genesis(replicas("a", "b", "c"))
+	b := newBench(t, first, "a", "b", "c")
+	refused := eris.New("refused")
+	calls := 0
+	p := inDoubt(b, first, func(value Value) (Value, error) {
+		if calls++; calls > 1 {
+			return value, refused
+		}
+		return setTo("x")(value)
+	})
+	b.deaf["a"] = true
+	output := p.Retry()
+	var accepts []Message
+	for _, message := range output.Messages[1:] {
+		reply, _ := b.answer(message)
+		accepts = append(accepts, p.Deliver(reply).Messages...)
+	}
+	require.True(t, p.InDoubt(), "someone may still complete what a has accepted")
+	require.NotEmpty(t, accepts)
+	require.Equal(t, Accept, accepts[0].Request.Kind, "the state without it is chosen anew, above it")
+	require.True(t, b.play(p, Output{Messages: accepts}).Done)
+	_, err := p.Result()
+	require.ErrorIs(t, err, refused)
+	require.False(t, p.InDoubt())
+}
+
+func TestJointSetNeedsBothMajorities(t *testing.T) {
+	first := Genesis(replicas("a", "b", "c"))
+	b := newBench(t, first, "a", "b", "c", "d", "e")
+	b.deaf["d"] = true
+	toNew := func(value Value) (Value, error) {
+		value.Previous, value.Replicas = value.Replicas, replicas("c", "d", "e")
+		return value, nil
+	}
+	p := NewProposer(Replica{ID: "a"}, NewBallots(1), first, first.Ballot, toNew)
+	b.deaf["e"] = true
+	require.False(t, b.play(p, p.Start()).Done, "a majority of the new set is missing")
+	b.deaf["e"] = false
+	require.True(t, b.play(p, p.Retry()).Done)
+	joint, _ := p.Result()
+	require.True(t, joint.Value.Joint())
+
+	finish := func(value Value) (Value, error) { value.Previous = nil; return value, nil }
+	b.deaf["a"], b.deaf["b"] = true, true
+	p = NewProposer(Replica{ID: "e"}, NewBallots(2), joint, joint.Ballot, finish)
+	require.False(t, b.play(p, p.Start()).Done, "a majority of the old set is missing")
+	b.deaf["b"] = false
+	require.True(t, b.play(p, p.Retry()).Done)
+	simple, _ := p.Result()
+	require.Equal(t, replicas("c", "d", "e"), simple.Value.Members())
+}
+
+func TestProposerFollowsASetThatMovedOn(t *testing.T) {
+	first := Genesis(replicas("a", "b", "c"))
+	b := newBench(t, first, "a", "b", "c", "d")
+	move := func(value Value) (Value, error) {
+		if value.Joint() {
+			value.Previous = nil
+		} else {
+			value.Previous, value.Replicas = value.Replicas, replicas("b", "c", "d")
+		}
+		return value, nil
+	}
+	known := first
+	for range 2 {
+		p := NewProposer(Replica{ID: "b"}, NewBallots(1), known, known.Ballot, move)
+		require.True(t, b.play(p, p.Start()).Done)
+		known, _ = p.Result()
+	}
+	stale := NewProposer(Replica{ID: "a"}, NewBallots(9), first, first.Ballot, setTo("x"))
+	output := b.play(stale, stale.Start())
+	for !output.Done {
+		output = b.play(stale, stale.Retry())
+	}
+	require.True(t, output.Done)
+	result, _ := stale.Result()
+	require.Equal(t, replicas("b", "c", "d"), result.Value.Replicas)
+	require.EqualValues(t, 3, result.Value.Revision)
+	require.EqualValues(t, 3, result.Value.DataRevision)
+}
+
+func TestReaderNeedsOneBallotOnAMajority(t *testing.T) {
+	first := Genesis(replicas("a", "b", "c"))
+	newer := Accepted{Ballot: ballot(4), Value: Value{Revision: 1, Replicas: first.Value.Replicas, Data: []byte("x")}}
+	b := newBench(t, first, "a", "b", "c")
+	b.acceptors["b"] = NewAcceptor(replicas("b")[0], Ballot{}, newer)
+	r := NewReader(Replica{ID: "z"}, first)
+	queue := r.Start().Messages
+	require.Len(t, queue, 3)
+	values := 0
+	deliver := func() (output Output) {
+		for len(queue) > 0 {
+			reply, _ := b.answer(queue[0])
+			values += lo.Ternary(reply.Value != nil, 1, 0)
+			output = r.Deliver(reply)
+			queue = append(queue[1:], output.Messages...)
+		}
+		return output
+	}
+	require.True(t, deliver().Done == r.Done())
+	require.False(t, r.Known().Ballot == newer.Ballot && r.Done(), "one replica alone holds it")
+	b.acceptors["c"] = NewAcceptor(replicas("c")[0], Ballot{}, newer)
+	r = NewReader(Replica{ID: "z"}, first)
+	queue = r.Start().Messages
+	values = 0
+	deliver()
+	require.True(t, r.Done())
+	require.Equal(t, "x", string(r.Known().Value.Data))
+	require.LessOrEqual(t, values, 2)
+}
--- a/coordination/store/disk.go
+++ b/coordination/store/disk.go
@@ -32,9 +32,9 @@
 
 // OpenDisk opens the record called name in folder, which is made if it isn't there.
 func OpenDisk(folder, name string) (*Disk, error) {
-	if _, err := os.Stat(folder); errors.Is(err, os.ErrNotExist) {
-		if err := os.MkdirAll(folder, folderPerm); err != nil {
-			return nil, eris.Wrapf(ErrFailed, "make folder %s: %v", folder, err)
+	if _, err := os.Stat(folder); err != nil {
+		if err := makeFolder(folder); err != nil {
+			return nil, typed(err, "make folder")
 		}
 	}
 	return &Disk{folder: folder, name: name}, nil
@@ -145,6 +145,13 @@
 	return file.Sync()
 }
 
+func makeFolder(path string) error {
+	if err := os.MkdirAll(path, folderPerm); err != nil {
+		return err
+	}
+	return syncFolder(filepath.Dir(path))
+}
+
 func syncFolder(path string) error {
 	folder, err := os.Open(path)
 	if err != nil {
