--- a/internal/standin/client/books.go
+++ b/internal/standin/client/books.go
@@ -106,3 +106,23 @@
 	return fmt.Sprintf("sent %d served %d late %d refused %d failed %d cut %d again %d %s",
 		r.Sent, r.Served, r.Late, r.Refused, r.Failed, r.Cut, r.Again, strings.Join(causes, "; "))
 }
+
+// Kinds returns the names of the kinds, sorted.
+func (b *Books) Kinds() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.kinds()
+}
+
+func (b *Books) kinds() []string { return slices.Sorted(maps.Keys(b.rows)) }
+
+// String shows the rows by kind.
+func (b *Books) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var lines []string
+	for _, kind := range b.kinds() {
+		lines = append(lines, kind+": "+b.rows[kind].String())
+	}
+	return strings.Join(lines, "\n")
+}
