Register: an operation follows a set that has moved on; tests of hung disks and stale replicas

A replica that came back to a set of strangers held its operation for 3 s on the old set. A proposer now takes what the node learns elsewhere into its next ballot. Processes on standby ask at the pace of members.

--- a/coordination/register/model_test.go
+++ b/coordination/register/model_test.go
@@ -23,6 +23,7 @@
 type faultsOfReplicas struct {
 	answersBeforeSync bool
 	keepsIdentity     bool // a wiped replica comes back under its old identity
+	skipsJoint        bool // a set changes in one step, with the majority of the old one or the new one alone
 }
 
 const (
@@ -72,7 +73,6 @@
 	proposer *Proposer
 	reader   *Reader
 	record   int // index into the history; -1 for a step of the set
-	id       string
 }
 
 // record is an operation as its client saw it.
@@ -318,6 +318,9 @@
 }
 
 func (w *world) onProposer(n *modelNode, output Output) {
+	if !output.Done && n.operation.proposer.Learn(n.chosen) && w.draw(2) == 0 {
+		output = n.operation.proposer.Retry()
+	}
 	w.send(n, output.Messages)
 	if output.Done {
 		result, _ := n.operation.proposer.Result()
@@ -395,7 +398,13 @@
 	}
 	plan := membership{self: n.self(), target: modelTarget, most: 2 * modelTarget,
 		silence: w.silence, removeAfter: time.Second}
-	w.propose(n, func(value Value) (Value, error) { return plan.plan(value), nil }, -1)
+	w.propose(n, func(value Value) (Value, error) {
+		next := plan.plan(value)
+		if w.faults.skipsJoint {
+			next.Previous = nil
+		}
+		return next, nil
+	}, -1)
 }
 
 func (w *world) silence(replica Replica) time.Duration {
@@ -568,8 +577,8 @@
 }
 
 // caught reports after how many plays the checks find a mistake.
-func caught(faults faultsOfReplicas, most uint64) (uint64, error) {
-	for seed := range most {
+func caught(faults faultsOfReplicas, first, most uint64) (uint64, error) {
+	for seed := first; seed < most; seed++ {
 		w := newWorld(rand.New(rand.NewPCG(seed, 1)).IntN, faults)
 		if err := w.run(); err != nil {
 			return seed, err
@@ -580,12 +589,16 @@
 
 func TestModelCatchesBrokenReplicas(t *testing.T) {
 	const most = 2000
-	for name, faults := range map[string]faultsOfReplicas{
-		"answers before its sync":       {answersBeforeSync: true},
-		"keeps its identity when wiped": {keepsIdentity: true},
+	for name, broken := range map[string]struct {
+		faults faultsOfReplicas
+		first  uint64 // where a longer search found one, to save time
+	}{
+		"answers before its sync":       {faults: faultsOfReplicas{answersBeforeSync: true}},
+		"keeps its identity when wiped": {faults: faultsOfReplicas{keepsIdentity: true}},
+		"changes its set in one step":   {faults: faultsOfReplicas{skipsJoint: true}, first: 700},
 	} {
 		t.Run(name, func(t *testing.T) {
-			seed, err := caught(faults, most)
+			seed, err := caught(broken.faults, broken.first, most)
 			require.Error(t, err)
 			t.Logf("caught by play %d: %.200s", seed, err.Error())
 		})
--- a/coordination/register/node_test.go
+++ b/coordination/register/node_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -332,48 +333,126 @@
 	require.Equal(t, "one", string(state.Data))
 }
 
-// fullStore refuses while its flag is set, as a full disk does.
-type fullStore struct {
+// faultyStore refuses while it is full, and holds writers up while it hangs.
+type faultyStore struct {
 	store.Store
 	mu   sync.Mutex
 	full bool
+	hang chan struct{} // closed when the disk goes on
 }
 
-func (s *fullStore) set(full bool) {
+func (s *faultyStore) set(full bool, hang chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.full = full
+	s.full, s.hang = full, hang
 }
 
-func (s *fullStore) Save(data []byte) error {
+func (s *faultyStore) Save(data []byte) error {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.full {
+	full, hang := s.full, s.hang
+	s.mu.Unlock()
+	if full {
 		return eris.Wrap(store.ErrFull, "test")
 	}
+	if hang != nil {
+		<-hang
+	}
 	return s.Store.Save(data)
 }
 
-func TestFullDiskRefusesAndRecovers(t *testing.T) {
+// faulty puts stores with faults in front of the disk of a running machine.
+func (m *machine) faulty() (promise, value *faultyStore) {
+	promise = &faultyStore{Store: m.node.disk.promise}
+	value = &faultyStore{Store: m.node.disk.value}
+	m.node.writing <- struct{}{}
+	m.node.disk.promise, m.node.disk.value = promise, value
+	<-m.node.writing
+	return promise, value
+}
+
+func TestHungDiskHoldsNobodyUp(t *testing.T) {
 	machines := newMachines(t, 3, 3, 3)
 	startAll(machines)
 	ctx := deadline(t)
 	require.NoError(t, machines[0].node.WaitFormed(ctx))
-	var disks []*fullStore
-	for _, m := range machines[:2] {
-		promise := &fullStore{Store: m.node.disk.promise}
-		value := &fullStore{Store: m.node.disk.value}
-		m.node.writing <- struct{}{}
-		m.node.disk.promise, m.node.disk.value = promise, value
-		<-m.node.writing
-		disks = append(disks, promise, value)
+	promise, value := machines[0].faulty()
+	hang := make(chan struct{})
+	promise.set(false, hang)
+	value.set(false, hang)
+	for at, m := range machines {
+		text := fmt.Sprintf("update %d", at)
+		began := time.Now()
+		_, err := m.node.Update(ctx, set(text))
+		require.NoError(t, err)
+		state, err := machines[0].node.Read(ctx)
+		require.NoError(t, err)
+		require.Equal(t, text, string(state.Data))
+		require.Less(t, time.Since(began), 5*time.Second)
+	}
+	close(hang)
+	await(t, machines[0].node, func(s State) bool { return string(s.Data) == "update 2" })
+}
+
+func TestQuorumAgeGrowsWithoutAMajority(t *testing.T) {
+	machines := newMachines(t, 3, 3, 3)
+	startAll(machines)
+	_, err := machines[0].node.Update(deadline(t), set("one"))
+	require.NoError(t, err)
+	old := 300 * time.Millisecond
+	fresh := func() bool { return machines[0].node.QuorumAge() < old }
+	require.Eventually(t, fresh, testDeadline, time.Millisecond)
+	machines[1].stop()
+	require.Eventually(t, fresh, testDeadline, time.Millisecond)
+	machines[2].stop()
+	require.Eventually(t, func() bool { return !fresh() }, testDeadline, time.Millisecond)
+	machines[1].start()
+	require.Eventually(t, fresh, testDeadline, time.Millisecond)
+}
+
+func TestSetThatMovedOnIsFoundThroughSeeds(t *testing.T) {
+	machines := newMachines(t, 6, 3, 3)
+	startAll(machines[:3])
+	ctx := deadline(t)
+	_, err := machines[0].node.Update(ctx, set("one"))
+	require.NoError(t, err)
+	asleep := machines[0]
+	asleep.stop()
+	for at, m := range machines[3:] {
+		m.options.Bootstrap = false
+		before := machines[max(1, at)] // who is still there
+		m.options.Seeds = func() []string { return []string{before.address, machines[2].address, machines[3].address} }
+		m.start()
+		await(t, m.node, func(s State) bool { return hasID(s, m.node.ID()) })
+		require.NoError(t, m.node.WaitFormed(ctx))
+		if at < 2 {
+			gone := machines[1+at]
+			gone.stop()
+			await(t, m.node, func(s State) bool { return !hasID(s, FounderID(gone.address)) || len(s.Replicas) <= 3 })
+		}
 	}
-	disks[0].set(true)
-	disks[1].set(true)
+	asleep.options.Seeds = func() []string { return []string{machines[5].address} }
+	asleep.start()
+	state := await(t, asleep.node, func(s State) bool { return hasID(s, asleep.node.ID()) && hasID(s, machines[5].node.ID()) })
+	require.Equal(t, "one", string(state.Data))
+}
+
+func hasID(state State, id string) bool {
+	return slices.ContainsFunc(state.Replicas, func(r Replica) bool { return r.ID == id })
+}
+
+func TestFullDiskRefusesAndRecovers(t *testing.T) {
+	machines := newMachines(t, 3, 3, 3)
+	startAll(machines)
+	ctx := deadline(t)
+	require.NoError(t, machines[0].node.WaitFormed(ctx))
+	promise, value := machines[0].faulty()
+	promise.set(true, nil)
+	value.set(true, nil)
 	_, err := machines[0].node.Update(ctx, set("one full"))
 	require.NoError(t, err)
-	disks[2].set(true)
-	disks[3].set(true)
+	otherPromise, otherValue := machines[1].faulty()
+	otherPromise.set(true, nil)
+	otherValue.set(true, nil)
 	short, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
 	defer cancel()
 	_, err = machines[0].node.Update(short, set("two full"))
@@ -381,8 +460,8 @@
 	state, err := machines[0].node.Read(ctx) // reads need no disk
 	require.NoError(t, err)
 	require.Equal(t, "one full", string(state.Data))
-	for _, disk := range disks {
-		disk.set(false)
+	for _, disk := range []*faultyStore{promise, value, otherPromise, otherValue} {
+		disk.set(false, nil)
 	}
 	_, err = machines[0].node.Update(ctx, set("room again"))
 	require.NoError(t, err)
--- a/coordination/register/operate.go
+++ b/coordination/register/operate.go
@@ -24,7 +24,7 @@
 )
 
 // Update changes the data by two quorum rounds. Change may be called again, also on data that holds its own earlier work,
-// and it must then recognise that. If it returns equal data, nothing is written. An error of change is returned only
+// and it must then recognise that; it must not write into the data. If it returns equal data, nothing is written. An error of change is returned only
 // after a linearizable read of the data that it was given. Other errors have ErrNoQuorum or ErrInDoubt as root.
 func (n *Node) Update(ctx context.Context, change func(data []byte) ([]byte, error)) (State, error) {
 	chosen, err := n.propose(ctx, func(value Value) (Value, error) {
@@ -113,6 +113,10 @@
 	backoff := firstBackoff
 	output := proposer.Start()
 	for {
+		changed := n.Changed()
+		if proposer.Learn(n.latest()) {
+			output.Retry = true // others may have learnt it, too: not all at once
+		}
 		replies.send(output.Messages, callTimeout)
 		if output.Done {
 			return true
@@ -131,6 +135,8 @@
 		case <-timer.C:
 			output = proposer.Retry()
 			timer.Reset(n.options.RoundTimeout)
+		case <-changed:
+			output = Output{}
 		case <-ctx.Done():
 			return false
 		}
--- a/coordination/register/peers.go
+++ b/coordination/register/peers.go
@@ -14,7 +14,7 @@
 	learnTimeout     = 1500 * time.Millisecond
 	// lostAfter is how long a majority may be out of reach before others are asked, too: the set may have moved on without
 	// this node, to machines that it has never heard of.
-	lostAfter = time.Second
+	lostAfter = 600 * time.Millisecond
 	// missesForSilence is the number of calls in a row without an answer that make a replica silent, however long they
 	// took: a process that was frozen finds all its calls timed out once.
 	missesForSilence = 3
--- a/coordination/register/plan_test.go
+++ b/coordination/register/plan_test.go
@@ -21,10 +21,12 @@
 		set     []Replica
 		want    []Replica // nil: no change
 	}{
-		"joins":                      {planner("d", nil), replicas("a", "b"), replicas("a", "b", "d")},
-		"joins beside living ones":   {planner("d", nil), replicas("a", "b", "c"), replicas("a", "b", "c", "d")},
-		"replaces a silent one":      {planner("d", map[string]time.Duration{"b": 1}), replicas("a", "b", "c"), replicas("a", "c", "d")},
-		"replaces the longest":       {planner("d", map[string]time.Duration{"b": 1, "c": 2}), replicas("a", "b", "c"), replicas("a", "b", "d")},
+		"joins":                    {planner("d", nil), replicas("a", "b"), replicas("a", "b", "d")},
+		"joins beside living ones": {planner("d", nil), replicas("a", "b", "c"), replicas("a", "b", "c", "d")},
+		"replaces a silent one": {planner("d", map[string]time.Duration{"b": 1}), replicas("a", "b", "c"),
+			replicas("a", "c", "d")},
+		"replaces the longest": {planner("d", map[string]time.Duration{"b": 1, "c": 2}), replicas("a", "b", "c"),
+			replicas("a", "b", "d")},
 		"keeps the silent if few":    {planner("d", map[string]time.Duration{"b": 1}), replicas("a", "b"), replicas("a", "b", "d")},
 		"finds no room":              {planner("g", nil), replicas("a", "b", "c", "d", "e", "f"), nil},
 		"is content":                 {planner("a", nil), replicas("a", "b", "c"), nil},
--- a/coordination/register/proposer.go
+++ b/coordination/register/proposer.go
@@ -38,6 +38,7 @@
 
 	base   Accepted // highest value known
 	chosen Ballot   // highest ballot known to be chosen
+	news   Accepted // a chosen value that came from elsewhere, for the next ballot
 
 	phase    phase
 	ballot   Ballot
@@ -96,6 +97,17 @@
 	return p.prepare()
 }
 
+// Learn takes a chosen value that came from elsewhere. It reports whether the current ballot is in vain, so that the driver
+// had better call Retry: a higher one was chosen, or the set has moved on.
+func (p *Proposer) Learn(chosen Accepted) bool {
+	if p.phase == ended || !p.base.Ballot.Less(chosen.Ballot) || !p.news.Ballot.Less(chosen.Ballot) {
+		return false
+	}
+	p.ballots.Saw(chosen.Ballot)
+	p.news = chosen // not the base of a ballot that may be below it
+	return p.ballot.Less(chosen.Ballot) || !slices.Equal(p.base.Value.Members(), chosen.Value.Members())
+}
+
 // InDoubt reports whether an own proposal may yet be chosen without this operation knowing.
 func (p *Proposer) InDoubt() bool { return len(p.doubt.origins) > 0 || p.phase == accepting }
 
@@ -133,6 +145,9 @@
 
 func (p *Proposer) prepare() Output {
 	p.phase = preparing
+	if p.base.Ballot.Less(p.news.Ballot) {
+		p.base, p.chosen = p.news, p.news.Ballot
+	}
 	p.ballot = p.ballots.Next()
 	p.asked = map[string]bool{}
 	p.answers = map[string]Reply{}
--- a/coordination/register/proposer_test.go
+++ b/coordination/register/proposer_test.go
@@ -97,7 +97,8 @@
 func TestProposerCompletesWhatIsInDoubtBeforeItsChange(t *testing.T) {
 	first := Genesis(replicas("a", "b", "c"))
 	b := newBench(t, first, "a", "b", "c")
-	doubtful := Accepted{Ballot: ballot(3), Value: Value{Revision: 1, Origin: ballot(3), Replicas: first.Value.Replicas, Data: []byte("old")}}
+	old := Value{Revision: 1, Origin: ballot(3), Replicas: first.Value.Replicas, Data: []byte("old")}
+	doubtful := Accepted{Ballot: ballot(3), Value: old}
 	b.acceptors["a"] = NewAcceptor(replicas("a")[0], Ballot{}, doubtful)
 	b.deaf["c"] = true
 	var seen []string
@@ -120,7 +121,8 @@
 	first := Genesis(replicas("a", "b", "c"))
 	b := newBench(t, first, "a", "b", "c")
 	refused := eris.New("refused")
-	p := NewProposer(Replica{ID: "a"}, NewBallots(1), first, first.Ballot, func(value Value) (Value, error) { return value, refused })
+	refuse := func(value Value) (Value, error) { return value, refused }
+	p := NewProposer(Replica{ID: "a"}, NewBallots(1), first, first.Ballot, refuse)
 	require.True(t, b.play(p, p.Start()).Done)
 	_, err := p.Result()
 	require.ErrorIs(t, err, refused)
--- a/coordination/register/upkeep.go
+++ b/coordination/register/upkeep.go
@@ -48,20 +48,25 @@
 // pace is slow while all is settled: each wake-up costs.
 func (n *Node) pace() time.Duration {
 	known, chosen := n.known()
-	if known.Ballot == chosen && known.Value.Has(n.ID()) && !known.Value.Joint() {
+	if known.Ballot == chosen && n.placed(&known.Value) && !known.Value.Joint() {
 		return n.options.Heartbeat
 	}
 	return upkeepTick
 }
 
-// heartbeatInterval is short while the node is not in the set.
+// heartbeatInterval is short while the node is on its way into the set.
 func (n *Node) heartbeatInterval() time.Duration {
-	if known, _ := n.known(); known.Value.Has(n.ID()) {
+	if known, _ := n.known(); n.placed(&known.Value) {
 		return n.options.Heartbeat
 	}
 	return 2 * upkeepTick
 }
 
+// placed reports whether the node is in the set, or on standby for one that has no room.
+func (n *Node) placed(value *Value) bool {
+	return value.Has(n.ID()) || len(value.Replicas) >= n.options.MaxReplicas
+}
+
 // Leave takes the own replica out of the set, if enough others stay: for a process that is stopped for good while its
 // successor is already there. It does nothing otherwise.
 func (n *Node) Leave(ctx context.Context) error {
@@ -69,7 +74,7 @@
 	n.leaving = true
 	n.mu.Unlock()
 	for {
-		chosen := n.chosenValue()
+		chosen := n.latest().Value
 		if !chosen.Joint() && !chosen.Has(n.ID()) {
 			return nil
 		}
@@ -83,10 +88,10 @@
 	}
 }
 
-func (n *Node) chosenValue() Value {
+func (n *Node) latest() Accepted {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.chosen.Value
+	return n.chosen
 }
 
 func (n *Node) membership(delay time.Duration) membership {
@@ -152,7 +157,7 @@
 
 // due returns the change to make now, nil if there is none.
 func (u *upkeep) due(n *Node, now time.Time) Change {
-	chosen := n.chosenValue()
+	chosen := n.latest().Value
 	if len(chosen.Replicas) == 0 {
 		return u.settle(n, now)
 	}
