--- a/coordination/register/operate.go
+++ b/coordination/register/operate.go
@@ -24,8 +24,9 @@
 )
 
 // Update changes the data by two quorum rounds. Change may be called again, also on data that holds its own earlier work,
-// and it must then recognise that; it must not write into the data. If it returns equal data, nothing is written. An error of change is returned only
-// after a linearizable read of the data that it was given. Other errors have ErrNoQuorum or ErrInDoubt as root.
+// and it must then recognise that; it must not write into the data. If it returns equal data, nothing is written. An error
+// of change is returned only after a linearizable read of the data that it was given. Other errors have ErrNoQuorum or
+// ErrInDoubt as root.
 func (n *Node) Update(ctx context.Context, change func(data []byte) ([]byte, error)) (State, error) {
 	chosen, err := n.propose(ctx, func(value Value) (Value, error) {
 		data, err := change(value.Data)
