--- a/internal/router/generation.go
+++ b/internal/router/generation.go
@@ -19,7 +19,8 @@
 	zone    string
 	version int64
 	expires time.Time
-	offered int  // workers that were sent it
+	offers  int  // workers that were sent it
+	offered bool // the present push carries it
 	taken   bool // a worker that was sent it has begun its answer
 }
 
@@ -48,9 +49,8 @@
 			q.freeHandle()
 			return verdict
 		}
-		// The first reading is no attempt of its own, further ones are.
-		decode.Runs = max(0, verdict.Runs-1)
-		decode.MaxRuns = max(decode.MaxRuns, decode.Runs+1)
+		// The first reading is no attempt of its own, further ones are. None of them is a run.
+		decode.MaxRuns = max(1, decode.MaxRuns-max(0, verdict.Runs-1))
 	}
 	if q.handle != nil {
 		decode.PreferZone = q.handle.zone
@@ -121,13 +121,15 @@
 // prepareDecode names the memory to a decode worker, while it can be had there.
 func (q *request) prepareDecode(target *fleetwire.Instance, header http.Header) {
 	held := q.handle
-	if held == nil || held.taken || q.reply.started() || q.mayHaveRun {
+	if held == nil || held.taken {
 		return
 	}
-	if held.offered >= handleOffers || time.Now().After(held.expires) || !held.fits(target, header.Get(headerModel)) {
+	held.offered = false
+	if q.mayHaveRun || held.offers >= handleOffers || time.Now().After(held.expires) || !held.fits(target, header.Get(headerModel)) {
 		return
 	}
-	held.offered++
+	held.offers++
+	held.offered = true
 	header.Set(headerKvFrom, held.address+"/"+held.id)
 	header.Set(headerExpectVersion, strconv.FormatInt(held.version, 10))
 }
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -158,5 +158,7 @@
 	})
 	ended.Wait()
 	_ = probes.Close()
-	r.options.Pool.Close()
+	if r.options.Pool != nil {
+		r.options.Pool.Close()
+	}
 }
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -20,7 +20,7 @@
 		received.discard()
 		return q.broken(ctx)
 	}
-	if q.handle != nil && q.handle.offered > 0 {
+	if q.handle != nil && q.handle.offered {
 		q.handle.taken = true
 	}
 	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
--- a/internal/router/upstream/conn.go
+++ b/internal/router/upstream/conn.go
@@ -61,7 +61,7 @@
 func keepAliveTime(field string) time.Duration {
 	for parameter := range strings.SplitSeq(field, ",") {
 		name, value, found := strings.Cut(strings.TrimSpace(parameter), "=")
-		if !found || !strings.EqualFold(name, "timeout") {
+		if !found || !strings.EqualFold(strings.TrimSpace(name), "timeout") {
 			continue
 		}
 		seconds, err := strconv.Atoi(strings.TrimSpace(value))
