--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"sync"
 	"syscall"
 	"time"
 
@@ -150,13 +149,9 @@
 	time.Sleep(times.drain)
 	ctx, cancel := context.WithTimeout(context.Background(), times.finish)
 	defer cancel()
-	var ended sync.WaitGroup
-	ended.Go(func() {
-		if clients.Shutdown(ctx) != nil {
-			_ = clients.Close()
-		}
-	})
-	ended.Wait()
+	if clients.Shutdown(ctx) != nil {
+		_ = clients.Close()
+	}
 	_ = probes.Close()
 	if r.options.Pool != nil {
 		r.options.Pool.Close()
