--- a/decide/api.go
+++ b/decide/api.go
@@ -96,6 +96,8 @@
 	TellsStart     bool    // workers note the start of a job
 	OverShareWorth float64 // the part of its worth that a job beyond its tenant's share keeps
 	WorthByWork    bool    // worth counts for each unit of work, not for each job
+	Unpriced       bool    // slots have no price: no job is held back for one that is worth more
+	EchoNoise      Time    // a round trip within twice that tells nothing of a worker's pace
 	PriceCross     float64 // what crossing zones costs, in shares of a job's worth
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -309,7 +309,7 @@
 // none (settle): else the cheap ones take each slot as it comes free. Starts in time lower the price.
 func (d *Dispatcher) affords(j *job) bool {
 	part := d.value(j) / d.price
-	return part >= 1 || d.rng.Float64() < part*part
+	return d.s.Unpriced || part >= 1 || d.rng.Float64() < part*part
 }
 
 // value is what a job earns for a second of a slot.
@@ -326,7 +326,7 @@
 
 // slowness tells from the time a probe took how many times slower than usual w is, whatever slots it shows.
 func (d *Dispatcher) slowness(w *worker, echo Time) float64 {
-	usual := d.usual[w.Zone]
+	usual := max(d.usual[w.Zone], float64(d.s.EchoNoise))
 	if usual <= 0 || float64(echo) < slowFrom*usual {
 		return 1 // jitter
 	}
--- a/decide/holder_test.go
+++ b/decide/holder_test.go
@@ -89,3 +89,25 @@
 		t.Fatalf("%d pushes of a job of the added class", len(pushes))
 	}
 }
+
+func TestWithoutAPriceNoJobIsHeldBackForADearerOne(t *testing.T) {
+	for _, unpriced := range []bool{false, true} {
+		var r recorder
+		s := testSettings()
+		s.Unpriced = unpriced
+		d, err := New(s, 1, &r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.Announce(second, ListFull, []Worker{{ID: 1, State: Ready}, {ID: 2, State: Ready}})
+		d.price = 1e12
+		drawn := 0
+		for id := uint32(1); id <= 100; id++ {
+			d.Arrive(second, Job{ID: id, GiveUpAt: 5 * second, Slots: 32})
+			drawn += min(1, len(r.take("probe")))
+		}
+		if want := map[bool]int{false: 0, true: 100}[unpriced]; drawn != want {
+			t.Errorf("unpriced %v: %d of 100 wide jobs were drawn for, want %d", unpriced, drawn, want)
+		}
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -51,6 +51,7 @@
 	OutputTokens int
 	Parts        []Part // in order; nil where unknown
 	PreferZone   string // where the memory of the prompt lies; empty: no preference
+	ReadsPrompt  bool   // with StageDecode: the worker reads the prompt itself
 	Repeatable   bool   // it may run more than once
 	MaxRuns      int    // the largest number of workers that may run it
 	// FreeFirst says that the first push draws nothing from the retry budget: it is the request's first arrival at the
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -24,10 +24,11 @@
 	reports map[string]Report
 	errs    map[string]error
 	probed  []string
+	delay   time.Duration // beyond the round trip
 }
 
 func (f *fakeProber) Probe(_ context.Context, target fleetwire.Instance) (Report, error) {
-	time.Sleep(time.Millisecond) // virtual: the tests run in a bubble
+	time.Sleep(time.Millisecond + f.delay) // virtual: the tests run in a bubble
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.probed = append(f.probed, target.ID)
@@ -270,3 +271,49 @@
 		}
 	})
 }
+
+func TestAWidePromptFindsRoomBesideShortOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober := &fakeProber{reports: map[string]Report{}}
+		for i := range 4 {
+			prober.reports[fmt.Sprintf("decode-%d", i)] = Report{Running: 3}
+		}
+		placer := newTestPlacer(prober)
+		placer.Update(snapshot(1, workers("decode", 4)))
+		served := func(_ context.Context, _ fleetwire.Instance, ready func() bool) Result {
+			ready()
+			return ResultServed
+		}
+		for range 200 { // short ones, some of which find no room: they must not price the wide one out
+			job := testJob("decode")
+			placer.Place(t.Context(), job, served)
+		}
+		wide := testJob("decode")
+		wide.ReadsPrompt = true
+		wide.PromptTokens = 60_000
+		wide.Parts = []Part{{"head", 500}, {"book", 59_000}, {"own", 500}}
+		verdict := placer.Place(t.Context(), wide, served)
+		require.Equal(t, DecisionServed, verdict.Decision)
+	})
+}
+
+func TestSlowProbesOfABusyRouterDoNotMakeWorkersLookSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober := &fakeProber{}
+		placer := newTestPlacer(prober)
+		placer.Update(snapshot(1, workers("prefill", 4)))
+		served := func(_ context.Context, _ fleetwire.Instance, ready func() bool) Result {
+			ready()
+			time.Sleep(100 * time.Millisecond)
+			return ResultServed
+		}
+		for range 50 {
+			placer.Place(t.Context(), testJob("prefill"), served)
+		}
+		prober.delay = 25 * time.Millisecond
+		began := time.Now()
+		verdict := placer.Place(t.Context(), testJob("prefill"), served)
+		require.Equal(t, DecisionServed, verdict.Decision)
+		require.Less(t, time.Since(began), 130*time.Millisecond, "it was held back")
+	})
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -12,12 +12,15 @@
 )
 
 const (
-	maxPushes      = 8   // of one stage of a request, those included that were refused unseen
-	guessedRun     = 4   // a stage is taken to need the aim divided by this, until one was seen
-	usualUnits     = 4.0 // of a prompt, until the first ones are seen
-	learnRate      = 0.05
-	maxClasses     = 512 // beyond it a class is shared: routes come and go
-	assumedRouters = 4   // until the controllers tell
+	maxPushes         = 8                     // of one stage of a request, those included that were refused unseen
+	guessedRun        = 4                     // a stage is taken to need the aim divided by this, until one was seen
+	widestShare       = 4                     // of a worker's slots, one prompt takes at most that part: it must fit beside others
+	echoNoise         = 30 * time.Millisecond // a router that shares its core answers late by that itself
+	decodeReadingCost = 2.0                   // a decode worker reads at half the pace
+	usualUnits        = 4.0                   // of a prompt, until the first ones are seen
+	learnRate         = 0.05
+	maxClasses        = 512 // beyond it a class is shared: routes come and go
+	assumedRouters    = 4   // until the controllers tell
 )
 
 // pool places the work of one service and stage. It gives the dispatcher what it owes it (one call at a time, a clock, timers)
@@ -83,6 +86,8 @@
 		Zones:        len(settings.zones),
 		Classes:      []decide.Class{first.class()},
 		CanProbe:     true,
+		Unpriced:     true, // no worker tells of a start, and without starts a price would not come down again
+		EchoNoise:    echoNoise.Microseconds(),
 		CanCancel:    true,
 		MaxAttempts:  maxPushes,
 		MaxRetry:     int64(time.Second / time.Microsecond),
@@ -186,19 +191,27 @@
 func (p *pool) weigh(job *Job, in *decide.Job) {
 	switch p.settings.stage {
 	case fleetwire.StagePrefill:
-		in.Slots = max(0.1, units(job.PromptTokens))
-		p.units += learnRate * (in.Slots - p.units)
-		prefix, tokens := sharedPrefix(job.Parts)
-		if holder := home(prefix, p.ready); holder != "" {
-			in.Holder = p.ids[holder]
-			in.Saved = units(tokens)
-		}
+		p.weighReading(job, in, 1)
 		in.Memory = float64(job.PromptTokens)
 	case fleetwire.StageDecode:
+		if job.ReadsPrompt {
+			p.weighReading(job, in, decodeReadingCost)
+		}
 		in.Memory = float64(job.PromptTokens + job.OutputTokens)
 	}
 }
 
+// weighReading sets what the reading of a prompt takes, and which worker holds its shared prefix.
+func (p *pool) weighReading(job *Job, in *decide.Job, cost float64) {
+	in.Slots = min(max(1, cost*units(job.PromptTokens)), float64(p.slots)/widestShare)
+	p.units += learnRate * (in.Slots - p.units)
+	prefix, tokens := sharedPrefix(job.Parts)
+	if holder := home(prefix, p.ready); holder != "" {
+		in.Holder = p.ids[holder]
+		in.Saved = cost * units(tokens)
+	}
+}
+
 func (p *pool) classOf(job *Job) int {
 	key := classKey{
 		repeatable: job.Repeatable,
@@ -313,8 +326,11 @@
 		return decide.Report{}
 	}
 	held := float64(report.Running + report.Queued)
-	if p.settings.stage == fleetwire.StagePrefill {
+	switch p.settings.stage {
+	case fleetwire.StagePrefill:
 		held *= p.units
+	case fleetwire.StageDecode:
+		held = float64(report.Running) + float64(report.Queued)*p.units
 	}
 	load := decide.Report{Has: decide.HasFreeSlots | decide.HasInFlight, FreeSlots: float64(p.slots) - held, InFlight: held}
 	if report.KvCapacity > 0 {
--- a/internal/router/generation.go
+++ b/internal/router/generation.go
@@ -40,7 +40,8 @@
 func (q *request) generate(ctx context.Context) placement.Verdict {
 	q.header.Set(headerPriority, strconv.Itoa(min(max(q.route.Priority, 0), leastUrgent)))
 	decode := q.job(fleetwire.StageDecode)
-	if !q.direct(&decode) {
+	decode.ReadsPrompt = q.direct()
+	if !decode.ReadsPrompt {
 		verdict := q.prefill(ctx)
 		if verdict.Decision == placement.DecisionRefused {
 			return verdict
@@ -61,11 +62,11 @@
 }
 
 // direct reports whether the decode worker is to read the prompt.
-func (q *request) direct(job *placement.Job) bool {
+func (q *request) direct() bool {
 	if !q.view.prefill[q.service.Name] || q.prompt.input == 0 {
 		return true
 	}
-	return q.router.options.Direct != nil && q.router.options.Direct(job)
+	return q.router.options.Direct != nil && q.router.options.Direct(placement.OwnTokens(q.prompt.input, q.prompt.parts))
 }
 
 // prefill has the prompt read.
--- a/internal/router/generation_test.go
+++ b/internal/router/generation_test.go
@@ -158,7 +158,7 @@
 		},
 		"chosen": func(f *fixture) {
 			f.worker(fleetwire.StagePrefill, func(http.ResponseWriter, *http.Request) { f.t.Error("called") })
-			f.router.options.Direct = func(*placement.Job) bool { return true }
+			f.router.options.Direct = func(int) bool { return true }
 		},
 		"handle of another": func(f *fixture) {
 			f.worker(fleetwire.StagePrefill, func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,9 +30,9 @@
 	Placer Placer
 	Pool   *upstream.Pool
 	Log    *zap.Logger
-	// Direct reports whether a generation skips the prefill worker and has its prompt read by the decode worker. It is
-	// given the job of the decode stage. Nil: never.
-	Direct func(job *placement.Job) bool
+	// Direct reports whether a generation skips the prefill worker and has its prompt, of which that many tokens are its own,
+	// read by the decode worker. Nil: never.
+	Direct func(ownTokens int) bool
 	// RetryAfter is what a refusal says when nothing better is known; 0: defaultRetryAfter.
 	RetryAfter time.Duration
 }
