--- a/internal/standin/judge/judge_test.go
+++ b/internal/standin/judge/judge_test.go
@@ -33,7 +33,9 @@
 
 // TestEachRuleCanFail breaks each rule once.
 func TestEachRuleCanFail(t *testing.T) {
-	stream := Answer{ID: "a", Status: 200, Stamp: "a@w", Complete: true, Stream: true}
+	stream := func(foreign string, pieces ...Piece) Answer {
+		return Answer{ID: "a", Status: 200, Stamp: "a@w", Complete: true, Stream: true, Pieces: pieces, Foreign: foreign}
+	}
 	for name, breach := range map[string]struct {
 		rule Rule
 		play func(j *Judge)
@@ -60,29 +62,23 @@
 		"another's handle": {Mixed, func(j *Judge) { j.HandleUsed("b", "a") }},
 		"stream with a hole": {Order, func(j *Judge) {
 			j.Ran(run("a", "w"))
-			stream.Pieces = pieces(j, "a@w", 3, 1, 2, 3)[1:]
-			j.Answered(stream)
+			j.Answered(stream("", pieces(j, "a@w", 3, 1, 2, 3)[1:]...))
 		}},
 		"stream ends early": {Order, func(j *Judge) {
 			j.Ran(run("a", "w"))
-			stream.Pieces = pieces(j, "a@w", 3, 1, 2)
-			j.Answered(stream)
+			j.Answered(stream("", pieces(j, "a@w", 3, 1, 2)...))
 		}},
 		"a piece that nobody made": {Mixed, func(j *Judge) {
 			j.Ran(run("a", "w"))
-			stream.Pieces = []Piece{{Stamp: "a@w", From: 1, To: 1, Total: 1}}
-			j.Answered(stream)
+			j.Answered(stream("", Piece{Stamp: "a@w", From: 1, To: 1, Total: 1}))
 		}},
 		"bytes that are no event": {Mixed, func(j *Judge) {
 			j.Ran(run("a", "w"))
-			stream.Pieces, stream.Foreign = pieces(j, "a@w", 1, 1), "da"
-			j.Answered(stream)
+			j.Answered(stream("da", pieces(j, "a@w", 1, 1)...))
 		}},
 		"two runs are joined": {Order, func(j *Judge) {
 			j.Ran(run("a", "w"))
-			stream.Pieces = append(pieces(j, "a@w", 2, 1), pieces(j, "a@v", 2, 1, 2)[1:]...)
-			stream.Foreign = ""
-			j.Answered(stream)
+			j.Answered(stream("", append(pieces(j, "a@w", 2, 1), pieces(j, "a@v", 2, 1, 2)[1:]...)...))
 		}},
 		"sent to a draining worker": {Drain, func(j *Judge) {
 			j.Listed("w", start)
@@ -127,6 +123,15 @@
 	}
 }
 
+func TestOutsidersAreLetIn(t *testing.T) {
+	j := New(DefaultBounds)
+	j.LetOutsiders("mine-")
+	j.Ran(run("mine-1", "w"))
+	require.Empty(t, j.Report())
+	j.Ran(run("yours-1", "w"))
+	require.NotEmpty(t, j.Report())
+}
+
 func TestWhatIsAllowedIsNotReported(t *testing.T) {
 	j := New(DefaultBounds)
 	resumable := request("r")
