Store: versions left by a killed process count only after the folder is synced

Cause: a process killed between the rename and the sync of the folder left a version that Load returned though a loss of power could still take it back. A replica would have answered for it. Change: Load syncs the folder first; the files stand behind an interface, so that the store runs on a simulated disk.

--- a/coordination/store/disk.go
+++ b/coordination/store/disk.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -16,13 +14,11 @@
 const (
 	asideSuffix   = ".tmp"
 	versionDigits = 20 // all digits of a uint64
-	filePerm      = 0o600
-	folderPerm    = 0o700
 )
 
 // Disk is a Store in files NAME.VERSION of a folder. Several stores with different names may share a folder.
 type Disk struct {
-	folder  string
+	files   Files
 	name    string
 	version uint64 // highest version ever used, whole or not
 
@@ -30,23 +26,29 @@
 	older  []uint64 // versions on the disk, oldest first
 }
 
-// OpenDisk opens the record called name in folder, which is made if it isn't there.
-func OpenDisk(folder, name string) (*Disk, error) {
-	if _, err := os.Stat(folder); err != nil {
-		if err := makeFolder(folder); err != nil {
-			return nil, typed(err, "make folder")
-		}
+// Open opens the record called name in a folder.
+func Open(files Files, name string) *Disk { return &Disk{files: files, name: name} }
+
+// OpenDisk opens the record called name in a folder of the file system, which is made if it isn't there.
+func OpenDisk(path, name string) (*Disk, error) {
+	folder, err := OpenFolder(path)
+	if err != nil {
+		return nil, err
 	}
-	return &Disk{folder: folder, name: name}, nil
+	return Open(folder, name), nil
 }
 
-// Load implements Store.
+// Load implements Store. A process that was killed may have left a version that was renamed and is not durable yet, so the
+// folder is synced before any is trusted.
 func (d *Disk) Load() ([]byte, error) {
+	if err := d.files.Sync(); err != nil {
+		return nil, typed(err, "sync folder")
+	}
 	if err := d.list(); err != nil {
 		return nil, err
 	}
 	for _, version := range slices.Backward(d.older) {
-		record, err := os.ReadFile(d.path(version))
+		record, err := d.files.Read(d.file(version))
 		if err != nil {
 			return nil, eris.Wrapf(ErrFailed, "read: %v", err)
 		}
@@ -66,16 +68,16 @@
 	}
 	d.version++
 	d.listed = false // until all has gone well
-	aside := d.path(d.version) + asideSuffix
-	if err := writeSynced(aside, encodeHeader(d.version, data), data); err != nil {
-		_ = os.Remove(aside)
+	aside := d.file(d.version) + asideSuffix
+	if err := d.files.Write(aside, encodeHeader(d.version, data), data); err != nil {
+		_ = d.files.Remove(aside)
 		return typed(err, "write aside")
 	}
-	if err := os.Rename(aside, d.path(d.version)); err != nil {
-		_ = os.Remove(aside)
+	if err := d.files.Rename(aside, d.file(d.version)); err != nil {
+		_ = d.files.Remove(aside)
 		return typed(err, "rename")
 	}
-	if err := syncFolder(d.folder); err != nil {
+	if err := d.files.Sync(); err != nil {
 		return typed(err, "sync folder")
 	}
 	d.listed = d.removeOlder()
@@ -87,7 +89,7 @@
 func (d *Disk) removeOlder() bool {
 	all := true
 	for _, version := range d.older {
-		if err := os.Remove(d.path(version)); err != nil {
+		if err := d.files.Remove(d.file(version)); err != nil {
 			all = false
 		}
 	}
@@ -96,13 +98,13 @@
 
 // list finds the versions there are, and removes what was left aside.
 func (d *Disk) list() error {
-	entries, err := os.ReadDir(d.folder)
+	names, err := d.files.List()
 	if err != nil {
 		return eris.Wrapf(ErrFailed, "list: %v", err)
 	}
 	d.older = nil
-	for _, entry := range entries {
-		rest, ours := strings.CutPrefix(entry.Name(), d.name+".")
+	for _, name := range names {
+		rest, ours := strings.CutPrefix(name, d.name+".")
 		if !ours {
 			continue
 		}
@@ -113,7 +115,7 @@
 		}
 		d.version = max(d.version, version)
 		if aside {
-			_ = os.Remove(filepath.Join(d.folder, entry.Name()))
+			_ = d.files.Remove(name)
 			continue
 		}
 		d.older = append(d.older, version)
@@ -123,42 +125,8 @@
 	return nil
 }
 
-func (d *Disk) path(version uint64) string {
-	return filepath.Join(d.folder, fmt.Sprintf("%s.%0*d", d.name, versionDigits, version))
-}
-
-func writeSynced(path string, parts ...[]byte) (err error) {
-	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, filePerm)
-	if err != nil {
-		return err
-	}
-	defer func() {
-		if closed := file.Close(); err == nil {
-			err = closed
-		}
-	}()
-	for _, part := range parts {
-		if _, err := file.Write(part); err != nil {
-			return err
-		}
-	}
-	return file.Sync()
-}
-
-func makeFolder(path string) error {
-	if err := os.MkdirAll(path, folderPerm); err != nil {
-		return err
-	}
-	return syncFolder(filepath.Dir(path))
-}
-
-func syncFolder(path string) error {
-	folder, err := os.Open(path)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = folder.Close() }()
-	return folder.Sync()
+func (d *Disk) file(version uint64) string {
+	return fmt.Sprintf("%s.%0*d", d.name, versionDigits, version)
 }
 
 func typed(err error, action string) error {
