--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
+	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -20,6 +22,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"weldscale/coordination/register"
 	"weldscale/coordination/transport"
 	"weldscale/internal/fleetwire"
 	"weldscale/internal/settings"
@@ -64,6 +67,7 @@
 	t        *testing.T
 	platform *platform
 	client   *transport.Client
+	seeds    []string // Control addresses
 	settings []*settings.Settings
 	running  map[int]*runningController
 }
@@ -84,23 +88,12 @@
 func newFleet(t *testing.T, count int) *fleet {
 	f := &fleet{t: t, platform: newPlatform(t), client: transport.NewClient(), running: make(map[int]*runningController)}
 	internal, control := freePort(t), freePort(t)
-	var seeds []string
-	for i := range count {
-		seeds = append(seeds, fmt.Sprintf("127.0.0.%d:%d", i+2, control))
+	const seeds = 3
+	for i := range seeds {
+		f.seeds = append(f.seeds, fmt.Sprintf("127.0.0.%d:%d", i+2, control))
 	}
-	for i := range count {
-		f.settings = append(f.settings, &settings.Settings{
-			NodeName:       "core-" + strconv.Itoa(i),
-			IP:             fmt.Sprintf("127.0.0.%d", i+2),
-			Zone:           "z",
-			Listen:         settings.Listen{Control: seeds[i]},
-			InternalPorts:  [2]int{internal, internal + 1},
-			Seeds:          seeds,
-			Bootstrap:      true,
-			DataDir:        filepath.Join(t.TempDir(), "data"),
-			FaultTolerance: settings.FaultTolerance{Machines: 1},
-			Cloud:          settings.Cloud{Address: strings.TrimPrefix(f.platform.server.URL, "http://")},
-		})
+	for range count {
+		f.addMachine(internal, control, true)
 	}
 	for i := range count {
 		f.start(i)
@@ -109,6 +102,49 @@
 	return f
 }
 
+// addMachine makes the settings of one more machine and returns its number.
+func (f *fleet) addMachine(internal, control int, bootstrap bool) int {
+	number := len(f.settings)
+	ip := fmt.Sprintf("127.0.0.%d", number+2)
+	f.settings = append(f.settings, &settings.Settings{
+		NodeName:       "core-" + strconv.Itoa(number),
+		IP:             ip,
+		Zone:           "z",
+		Listen:         settings.Listen{Control: net.JoinHostPort(ip, strconv.Itoa(control))},
+		InternalPorts:  [2]int{internal, internal + 1},
+		Seeds:          f.seeds,
+		Bootstrap:      bootstrap,
+		DataDir:        filepath.Join(f.t.TempDir(), "data"),
+		FaultTolerance: settings.FaultTolerance{Machines: 1},
+		Cloud:          settings.Cloud{Address: strings.TrimPrefix(f.platform.server.URL, "http://")},
+	})
+	return number
+}
+
+// replacement adds a machine at a new address with an empty disk.
+func (f *fleet) replacement() int {
+	address, err := netip.ParseAddrPort(f.settings[0].Listen.Control)
+	require.NoError(f.t, err)
+	return f.addMachine(f.settings[0].InternalPorts[0], int(address.Port()), false)
+}
+
+// restart starts a controller again after it has ended.
+func (f *fleet) restart(i int) {
+	again := *f.settings[i]
+	again.Bootstrap = false
+	f.settings[i] = &again
+	f.start(i)
+}
+
+// isReplica tells whether a controller is in the set of replicas that it knows, with its present disk, and the change of the
+// set is finished: only then may the next machine be lost.
+func (f *fleet) isReplica(i int) bool {
+	node := f.running[i].process.node
+	replicas := node.Latest().Replicas
+	return node.Formed() && len(replicas) == targetReplicas(f.settings[i].FaultTolerance) &&
+		slices.ContainsFunc(replicas, func(replica register.Replica) bool { return replica.ID == node.ID() })
+}
+
 func (f *fleet) start(i int) {
 	process, err := open(f.t.Context(), f.settings[i], zap.NewNop())
 	require.NoError(f.t, err)
@@ -273,8 +309,7 @@
 	t.Logf("a list by another reader after a crash: %v", took)
 
 	second := f.reader()
-	f.settings[first].Bootstrap = false
-	f.start(first)
+	f.restart(first)
 	f.eventually("the list at the one that is back", f.everywhere(showsWorker("i-1", fleetwire.InstanceDraining)))
 	f.stop(second)
 	f.platform.set(worker("i-2", fleetwire.InstanceReady))
@@ -295,8 +330,73 @@
 	require.NoError(t, err)
 	_ = response.Body.Close()
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
-	f.settings[1].Bootstrap = false
-	f.start(1)
+	f.restart(1)
 	require.Equal(t, http.StatusOK, f.replace(0, 1, configBody(2)))
 	require.Equal(t, configBody(2), f.read(1))
 }
+
+func TestARemovedMachineIsReplacedByOneAtANewAddress(t *testing.T) {
+	f := newFleet(t, 3)
+	f.platform.set(worker("i-1", fleetwire.InstanceReady))
+	require.Equal(t, http.StatusOK, f.replace(0, 0, configBody(1)))
+	f.crash(0)
+	added := f.replacement()
+	f.start(added)
+	took := f.eventually("the new replica", func() bool { return f.isReplica(added) })
+	t.Logf("a replacement is in the set after %v", took)
+	f.eventually("configuration and list at the new one", func() bool {
+		c := f.running[added].process.controller
+		return hasVersion(1)(c) && showsWorker("i-1", fleetwire.InstanceReady)(c)
+	})
+	f.crash(1)
+	require.Equal(t, http.StatusOK, f.replace(added, 1, configBody(2)), "with one founder and the new one")
+	f.platform.set(worker("i-2", fleetwire.InstanceReady))
+	f.eventually("a new list", f.everywhere(showsWorker("i-2", fleetwire.InstanceReady)))
+}
+
+func TestAWipedMachineIsTakenInAnew(t *testing.T) {
+	f := newFleet(t, 3)
+	require.Equal(t, http.StatusOK, f.replace(0, 0, configBody(1)))
+	f.crash(2)
+	require.NoError(t, os.RemoveAll(f.settings[2].DataDir))
+	f.restart(2)
+	took := f.eventually("the wiped one as a new replica", func() bool {
+		return f.isReplica(2) && hasVersion(1)(f.running[2].process.controller)
+	})
+	t.Logf("a wiped machine is in the set after %v", took)
+	f.crash(0)
+	require.Equal(t, http.StatusOK, f.replace(2, 1, configBody(2)))
+	require.Equal(t, configBody(2), f.read(1))
+}
+
+func TestFiveControllersWithThreeReplicas(t *testing.T) {
+	f := newFleet(t, 5)
+	f.platform.set(worker("i-1", fleetwire.InstanceReady))
+	require.Equal(t, http.StatusOK, f.replace(4, 0, configBody(1)), "by one that is no replica")
+	took := f.eventually("the configuration everywhere", f.everywhere(hasVersion(1)))
+	t.Logf("the configuration was everywhere %v after the acknowledgement", took)
+	f.eventually("the list everywhere", f.everywhere(showsWorker("i-1", fleetwire.InstanceReady)))
+	require.Equal(t, http.StatusOK, f.replace(0, 1, configBody(2)))
+	took = f.eventually("the next configuration everywhere", f.everywhere(hasVersion(2)))
+	t.Logf("the next configuration was everywhere %v after the acknowledgement", took)
+}
+
+func TestAllKilledAtOnceComeBackWithWhatWasAcknowledged(t *testing.T) {
+	f := newFleet(t, 3)
+	f.platform.set(worker("i-1", fleetwire.InstanceReady))
+	require.Equal(t, http.StatusOK, f.replace(0, 0, configBody(1)))
+	require.Equal(t, http.StatusOK, f.replace(1, 1, configBody(2)))
+	f.eventually("the list everywhere", f.everywhere(showsWorker("i-1", fleetwire.InstanceReady)))
+	for i := range 3 {
+		f.crash(i)
+	}
+	for i := range 3 {
+		f.restart(i)
+	}
+	took := f.eventually("the configuration everywhere", f.everywhere(hasVersion(2)))
+	t.Logf("the configuration was back after %v", took)
+	took = f.eventually("the list everywhere", f.everywhere(showsWorker("i-1", fleetwire.InstanceReady)))
+	t.Logf("the list was back %v later", took)
+	require.Equal(t, http.StatusOK, f.replace(2, 1, configBody(2)), "sent again")
+	require.Equal(t, http.StatusOK, f.replace(2, 2, configBody(3)))
+}
