Membership: few monitors by rendezvous, heartbeats, and a pure failure detector

Members are to watch over each other without a centre and without messages that grow with the fleet. Each sends heartbeats to three monitors and one question in turn; deaths and returns travel with them, and a member thought dead returns in a higher incarnation. Not used by a program yet.

--- /dev/null
+++ b/coordination/membership/node.go
@@ -0,0 +1,136 @@
+package membership
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+)
+
+// maxDatagram is a size that passes every link in one piece.
+const maxDatagram = 1400
+
+// Node drives a detector: it sends and receives datagrams, and ticks.
+type Node struct {
+	conn     net.PacketConn
+	interval time.Duration
+	log      *zap.Logger
+
+	mutex    sync.Mutex
+	detector *Detector
+}
+
+// NewNode returns a node that uses the connection, and closes it at the end of Run.
+func NewNode(options Options, conn net.PacketConn, log *zap.Logger) *Node {
+	detector := NewDetector(options)
+	return &Node{conn: conn, interval: detector.options.Interval, log: log, detector: detector}
+}
+
+// Run takes part in the fleet until ctx is done.
+func (n *Node) Run(ctx context.Context) {
+	var receiver sync.WaitGroup
+	receiver.Go(n.receive)
+	ticker := time.NewTicker(n.interval)
+	defer ticker.Stop()
+	for {
+		n.tick()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			_ = n.conn.Close()
+			receiver.Wait()
+			return
+		}
+	}
+}
+
+// Learn adds members that were told of from outside.
+func (n *Node) Learn(members []Member) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.detector.Learn(time.Now(), members)
+}
+
+// Living returns the other members that are thought to be alive, in order of their names. The result must not be changed.
+func (n *Node) Living() []Member {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.detector.Living()
+}
+
+func (n *Node) tick() {
+	n.mutex.Lock()
+	envelopes := n.detector.Tick(time.Now())
+	n.mutex.Unlock()
+	n.send(envelopes)
+}
+
+// receive takes datagrams until the connection is closed.
+func (n *Node) receive() {
+	buffer := make([]byte, maxDatagram)
+	for {
+		err := n.receiveOne(buffer)
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil: // damaged, or a refusal that an earlier datagram met
+			n.log.Debug("datagram", zap.Error(err))
+		}
+	}
+}
+
+// receiveOne takes one datagram and sends the answers to it.
+func (n *Node) receiveOne(buffer []byte) error {
+	size, _, err := n.conn.ReadFrom(buffer)
+	if err != nil {
+		return eris.Wrap(err, "receive")
+	}
+	message, err := decode(buffer[:size])
+	if err != nil {
+		return err
+	}
+	n.mutex.Lock()
+	answers := n.detector.Receive(time.Now(), message)
+	n.mutex.Unlock()
+	n.send(answers)
+	return nil
+}
+
+// send sends messages; one that is lost here is made up for like one that is lost on its way.
+func (n *Node) send(envelopes []Envelope) {
+	for _, envelope := range envelopes {
+		address, err := netip.ParseAddrPort(envelope.To.Address)
+		if err != nil {
+			continue
+		}
+		body, err := encode(&envelope.Message)
+		if err != nil {
+			n.log.Warn("message not encoded", zap.Error(err))
+			continue
+		}
+		_, _ = n.conn.WriteTo(body, net.UDPAddrFromAddrPort(address))
+	}
+}
+
+// encode writes a message without field names.
+func encode(message *Message) ([]byte, error) {
+	var body bytes.Buffer
+	encoder := msgpack.NewEncoder(&body)
+	encoder.UseArrayEncodedStructs(true)
+	encoder.UseCompactInts(true)
+	err := encoder.Encode(message)
+	return body.Bytes(), eris.Wrap(err, "encode message")
+}
+
+func decode(body []byte) (Message, error) {
+	var message Message
+	err := msgpack.Unmarshal(body, &message)
+	return message, eris.Wrap(err, "decode message")
+}
