Register and watch: deciders that a simulation can drive

The simulation of the coordination parts together needs what their drivers use: the register's Disk on any folder, its Planner and Value.Quorum, and a Follower that is driven by Next, Answered and Failed.

--- a/coordination/register/doc.go
+++ b/coordination/register/doc.go
@@ -20,11 +20,12 @@
 // A simulation drives them as Node does:
 //
 //   - Acceptor: Begin(request) returns a Step. If its Write is nil, its Reply is sent at once. Otherwise the Write is made
-//     durable first, then Finish(step) returns the reply; if it can't be written, Abandon(step, refusal) does. Recovery: keep
-//     Write.Promised and Write.Accepted as two records, and hand the newest of both to NewAcceptor.
+//     durable first, then Finish(step) returns the reply; if it can't be written, Abandon(step, refusal) does. Disk keeps
+//     the writes and loads the acceptor after a restart.
 //   - Proposer: Start, Deliver(reply) and Retry return an Output. Its Messages are sent; if Retry is set, the driver calls
 //     Retry after a back-off; it also calls Retry when a round takes too long; when Done is set, Result tells the end.
 //   - Reader: Start and Deliver, the same way; it never writes, and Done says that a majority agreed.
+//   - Planner: Next returns the next step of the set, which is proposed as a Change.
 //
 // Node drives them over HTTP with a disk.
 package register
--- a/coordination/register/durable.go
+++ b/coordination/register/durable.go
@@ -24,27 +24,24 @@
 	Founders []Replica // the first set, if this disk belongs to it
 }
 
-// durable keeps an acceptor's state on its disk.
-type durable struct {
+// Disk keeps an acceptor's state on its disk. It is not safe for use by several goroutines.
+type Disk struct {
 	identity store.Store
 	promise  store.Store
 	value    store.Store
 }
 
-func openDurable(folder string) (durable, error) {
-	var stores [3]store.Store
-	for at, name := range []string{identityRecord, promiseRecord, valueRecord} {
-		disk, err := store.OpenDisk(folder, name)
-		if err != nil {
-			return durable{}, err
-		}
-		stores[at] = disk
+// NewDisk returns a disk in a folder.
+func NewDisk(files store.Files) Disk {
+	return Disk{
+		identity: store.Open(files, identityRecord),
+		promise:  store.Open(files, promiseRecord),
+		value:    store.Open(files, valueRecord),
 	}
-	return durable{identity: stores[0], promise: stores[1], value: stores[2]}, nil
 }
 
-// load returns the acceptor that the disk holds, or nil if the disk was never used.
-func (d durable) load(address string) (*Acceptor, error) {
+// Load returns the acceptor that the disk holds, or nil if the disk was never used.
+func (d Disk) Load(address string) (*Acceptor, error) {
 	var mark identity
 	found, err := loadRecord(d.identity, &mark)
 	if err != nil || !found {
@@ -65,8 +62,9 @@
 	return NewAcceptor(Replica{ID: mark.ID, Address: address}, promised, accepted), nil
 }
 
-// mark gives an empty disk its identity.
-func (d durable) mark(mark identity, address string) (*Acceptor, error) {
+// Mark gives an empty disk its identity. Founders is the first set if the disk belongs to it, else nil.
+func (d Disk) Mark(id, address string, founders []Replica) (*Acceptor, error) {
+	mark := identity{ID: id, Founders: founders}
 	if err := saveRecord(d.identity, &mark); err != nil {
 		return nil, err
 	}
@@ -80,8 +78,8 @@
 	return Genesis(i.Founders)
 }
 
-// write makes a step's write durable.
-func (d durable) write(write *Write) Refusal {
+// Write makes a step's write durable.
+func (d Disk) Write(write *Write) Refusal {
 	var err error
 	if write.Accepted != nil {
 		err = saveRecord(d.value, write.Accepted)
--- a/coordination/register/model_test.go
+++ b/coordination/register/model_test.go
@@ -255,8 +255,8 @@
 func (w *world) write(n *modelNode) {
 	step := *n.step
 	n.step = nil
-	disk := durable{promise: &n.promise, value: &n.value}
-	if refusal := disk.write(step.Write); refusal != Agreed {
+	disk := Disk{promise: &n.promise, value: &n.value}
+	if refusal := disk.Write(step.Write); refusal != Agreed {
 		w.reply(n, n.stepFrom, n.stepLife, n.acceptor.Abandon(step, refusal))
 		return
 	}
@@ -273,7 +273,7 @@
 		w.accepts[accepted.Ballot] = map[string]bool{}
 	}
 	w.accepts[accepted.Ballot][id] = true
-	if !accepted.Value.quorum(func(id string) bool { return w.accepts[accepted.Ballot][id] }) {
+	if !accepted.Value.Quorum(func(id string) bool { return w.accepts[accepted.Ballot][id] }) {
 		return
 	}
 	for _, other := range w.chosen {
@@ -396,10 +396,10 @@
 		}
 		return
 	}
-	plan := membership{self: n.self(), target: modelTarget, most: 2 * modelTarget,
-		silence: w.silence, removeAfter: time.Second}
+	plan := Planner{Self: n.self(), Target: modelTarget, Most: 2 * modelTarget,
+		Silence: w.silence, RemoveAfter: time.Second}
 	w.propose(n, func(value Value) (Value, error) {
-		next := plan.plan(value)
+		next := plan.Next(value)
 		if w.faults.skipsJoint {
 			next.Previous = nil
 		}
--- a/coordination/register/node.go
+++ b/coordination/register/node.go
@@ -10,6 +10,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/samber/lo"
+
+	"weldscale/coordination/store"
 )
 
 // State is a chosen value, as the users of the register see it. It must not be changed.
@@ -24,7 +26,7 @@
 // Node is a process's share in the register: a replica, or a newcomer on its way to be one, and a proposer.
 type Node struct {
 	options Options
-	disk    durable
+	disk    Disk
 	writing chan struct{} // holds a token while the disk is in use
 	turn    chan struct{} // holds a token while an own operation runs: a node does not compete with itself
 	ballots *Ballots
@@ -43,11 +45,12 @@
 // Open reads the disk. The node answers once it is mounted by Register, and takes part in the set while Run runs.
 func Open(options Options) (*Node, error) {
 	options = options.withDefaults()
-	disk, err := openDurable(options.Directory)
+	folder, err := store.OpenFolder(options.Directory)
 	if err != nil {
 		return nil, err
 	}
-	acceptor, err := disk.load(options.Address)
+	disk := NewDisk(folder)
+	acceptor, err := disk.Load(options.Address)
 	if err != nil {
 		return nil, eris.Wrap(err, "read the disk")
 	}
@@ -81,13 +84,14 @@
 	if n.ID() != "" {
 		return true
 	}
-	mark := identity{ID: randomID()}
+	id := randomID()
+	var founders []Replica
 	if n.options.Bootstrap && slices.Contains(n.options.Founders, n.options.Address) {
-		mark.ID = FounderID(n.options.Address)
-		mark.Founders = foundingSet(n.options.Founders)
+		id = FounderID(n.options.Address)
+		founders = FoundingSet(n.options.Founders)
 	}
 	n.writing <- struct{}{}
-	acceptor, err := n.disk.mark(mark, n.options.Address)
+	acceptor, err := n.disk.Mark(id, n.options.Address, founders)
 	<-n.writing
 	if err != nil {
 		return false
@@ -98,8 +102,8 @@
 	return true
 }
 
-// foundingSet is the same on all founders, whatever the order in which they were told of each other.
-func foundingSet(addresses []string) []Replica {
+// FoundingSet is the same on all founders, whatever the order in which they were told of each other.
+func FoundingSet(addresses []string) []Replica {
 	ordered := slices.Sorted(slices.Values(lo.Uniq(addresses)))
 	return lo.Map(ordered, func(address string, _ int) Replica {
 		return Replica{ID: FounderID(address), Address: address}
--- a/coordination/register/peers.go
+++ b/coordination/register/peers.go
@@ -180,7 +180,7 @@
 	if n.acceptor != nil {
 		accepted = n.acceptor.Accepted()
 	}
-	agreed := n.chosen.Ballot.Less(accepted.Ballot) && accepted.Value.quorum(func(id string) bool {
+	agreed := n.chosen.Ballot.Less(accepted.Ballot) && accepted.Value.Quorum(func(id string) bool {
 		return id == n.acceptor.Self().ID || n.holds(id, accepted)
 	})
 	n.mu.Unlock()
--- a/coordination/register/plan.go
+++ b/coordination/register/plan.go
@@ -8,33 +8,33 @@
 	"github.com/samber/lo"
 )
 
-// membership is what a node knows when it plans a change of the set.
-type membership struct {
-	self    Replica
-	target  int
-	most    int
-	leaving bool
-	// silence tells how long a replica has been silent, zero if it isn't.
-	silence     func(Replica) time.Duration
-	removeAfter time.Duration
+// Planner plans changes of the set by what a process knows. It is pure.
+type Planner struct {
+	Self    Replica
+	Target  int // replicas wanted; once reached, the set is never smaller
+	Most    int // bounds the set while replacements join
+	Leaving bool
+	// Silence tells how long a replica has been silent, zero if it isn't.
+	Silence     func(Replica) time.Duration
+	RemoveAfter time.Duration // the silence after which a replica above Target goes
 }
 
-// plan returns the next step of the set from a chosen value. It returns the value as it is if there is nothing to do.
-func (m membership) plan(value Value) Value {
+// Next returns the next step of the set from a chosen value. It returns the value as it is if there is nothing to do.
+func (p Planner) Next(value Value) Value {
 	switch {
 	case value.Joint():
 		value.Previous = nil
 		return value
-	case m.leaving:
-		return m.change(value, m.leave(value.Replicas))
-	case value.Has(m.self.ID):
-		return m.change(value, m.removeSilent(value.Replicas))
+	case p.Leaving:
+		return p.change(value, p.leave(value.Replicas))
+	case value.Has(p.Self.ID):
+		return p.change(value, p.removeSilent(value.Replicas))
 	}
-	return m.change(value, m.join(value.Replicas))
+	return p.change(value, p.join(value.Replicas))
 }
 
 // change makes the joint value that leads to another set.
-func (m membership) change(value Value, next []Replica) Value {
+func (p Planner) change(value Value, next []Replica) Value {
 	if len(next) == 0 || slices.Equal(next, value.Replicas) {
 		return value
 	}
@@ -43,9 +43,9 @@
 }
 
 // leave takes the own replica out if enough others stay.
-func (m membership) leave(replicas []Replica) []Replica {
-	next := lo.Reject(replicas, func(r Replica, _ int) bool { return r.ID == m.self.ID })
-	if len(next) < m.target {
+func (p Planner) leave(replicas []Replica) []Replica {
+	next := lo.Reject(replicas, func(r Replica, _ int) bool { return r.ID == p.Self.ID })
+	if len(next) < p.Target {
 		return replicas
 	}
 	return next
@@ -53,29 +53,29 @@
 
 // join adds the own replica. Another identity at its address is a disk that was lost, and goes. In a set that is large
 // enough, silent ones give way, the one silent for longest first.
-func (m membership) join(replicas []Replica) []Replica {
-	next := lo.Reject(replicas, func(r Replica, _ int) bool { return r.Address == m.self.Address })
-	next = append(next, m.self)
-	next = m.dropSilent(next, 1)
-	if len(next) > m.most {
+func (p Planner) join(replicas []Replica) []Replica {
+	next := lo.Reject(replicas, func(r Replica, _ int) bool { return r.Address == p.Self.Address })
+	next = append(next, p.Self)
+	next = p.dropSilent(next, 1)
+	if len(next) > p.Most {
 		return replicas // there is no room until someone leaves
 	}
 	return next
 }
 
 // removeSilent takes one out that has been silent for long, if enough others stay.
-func (m membership) removeSilent(replicas []Replica) []Replica {
-	return m.dropSilent(replicas, m.removeAfter)
+func (p Planner) removeSilent(replicas []Replica) []Replica {
+	return p.dropSilent(replicas, p.RemoveAfter)
 }
 
 // dropSilent removes one replica that has been silent for a time, if the set is larger than wanted. One at a time is enough:
 // the next change removes the next.
-func (m membership) dropSilent(replicas []Replica, least time.Duration) []Replica {
-	if len(replicas) <= m.target {
+func (p Planner) dropSilent(replicas []Replica, least time.Duration) []Replica {
+	if len(replicas) <= p.Target {
 		return replicas
 	}
-	longest := slices.MaxFunc(replicas, func(a, b Replica) int { return cmp.Compare(m.silence(a), m.silence(b)) })
-	if m.silence(longest) < least {
+	longest := slices.MaxFunc(replicas, func(a, b Replica) int { return cmp.Compare(p.Silence(a), p.Silence(b)) })
+	if p.Silence(longest) < least {
 		return replicas
 	}
 	return lo.Reject(replicas, func(r Replica, _ int) bool { return r.ID == longest.ID })
--- a/coordination/register/plan_test.go
+++ b/coordination/register/plan_test.go
@@ -8,16 +8,16 @@
 	"pgregory.net/rapid"
 )
 
-func planner(id string, silent map[string]time.Duration) membership {
-	return membership{
-		self: replicas(id)[0], target: 3, most: 6, removeAfter: time.Second,
-		silence: func(r Replica) time.Duration { return silent[r.ID] },
+func planner(id string, silent map[string]time.Duration) Planner {
+	return Planner{
+		Self: replicas(id)[0], Target: 3, Most: 6, RemoveAfter: time.Second,
+		Silence: func(r Replica) time.Duration { return silent[r.ID] },
 	}
 }
 
 func TestPlans(t *testing.T) {
 	cases := map[string]struct {
-		planner membership
+		planner Planner
 		set     []Replica
 		want    []Replica // nil: no change
 	}{
@@ -38,33 +38,33 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			value := Value{Replicas: c.set}
-			next := c.planner.plan(value)
+			next := c.planner.Next(value)
 			if c.want == nil {
 				require.Equal(t, value, next)
 				return
 			}
 			require.Equal(t, c.set, next.Previous)
 			require.ElementsMatch(t, c.want, next.Replicas)
-			require.Equal(t, next.Replicas, c.planner.plan(next).Replicas)
-			require.False(t, new(c.planner.plan(next)).Joint(), "the next step finishes the change")
+			require.Equal(t, next.Replicas, c.planner.Next(next).Replicas)
+			require.False(t, new(c.planner.Next(next)).Joint(), "the next step finishes the change")
 		})
 	}
 }
 
 func TestWipedDiskTakesThePlaceOfItsFormerIdentity(t *testing.T) {
 	p := planner("b", nil)
-	p.self = Replica{ID: "new", Address: "at b"}
-	next := p.plan(Value{Replicas: replicas("a", "b", "c")})
-	require.ElementsMatch(t, append(replicas("a", "c"), p.self), next.Replicas)
+	p.Self = Replica{ID: "new", Address: "at b"}
+	next := p.Next(Value{Replicas: replicas("a", "b", "c")})
+	require.ElementsMatch(t, append(replicas("a", "c"), p.Self), next.Replicas)
 }
 
 func TestLeaves(t *testing.T) {
 	p := planner("a", nil)
-	p.leaving = true
-	next := p.plan(Value{Replicas: replicas("a", "b", "c", "d")})
+	p.Leaving = true
+	next := p.Next(Value{Replicas: replicas("a", "b", "c", "d")})
 	require.Equal(t, replicas("b", "c", "d"), next.Replicas)
 	few := Value{Replicas: replicas("a", "b", "c")}
-	require.Equal(t, few, p.plan(few))
+	require.Equal(t, few, p.Next(few))
 }
 
 // Whatever is silent, a set that has reached its size stays at it, and one step changes few members.
@@ -77,10 +77,10 @@
 			silent[name] = time.Duration(rapid.IntRange(0, 3).Draw(t, name)) * time.Second
 		}
 		p := planner(rapid.SampledFrom(names).Draw(t, "self"), silent)
-		p.leaving = rapid.Bool().Draw(t, "leaving")
-		next := p.plan(Value{Replicas: set})
-		require.GreaterOrEqual(t, len(next.Replicas), min(len(set), p.target))
-		require.LessOrEqual(t, len(next.Replicas), max(len(set), p.most))
+		p.Leaving = rapid.Bool().Draw(t, "leaving")
+		next := p.Next(Value{Replicas: set})
+		require.GreaterOrEqual(t, len(next.Replicas), min(len(set), p.Target))
+		require.LessOrEqual(t, len(next.Replicas), max(len(set), p.Most))
 		require.LessOrEqual(t, len(set)-len(next.Replicas), 1)
 	})
 }
--- a/coordination/register/proposer.go
+++ b/coordination/register/proposer.go
@@ -180,7 +180,7 @@
 	}
 	// A newer value may have another set: its members have to promise, too.
 	messages := p.ask(Request{Kind: Prepare, Known: p.base.Ballot}, p.base.Value.Members())
-	if !p.base.Value.quorum(p.agreed) {
+	if !p.base.Value.Quorum(p.agreed) {
 		return Output{Messages: messages}
 	}
 	output := p.propose()
@@ -201,7 +201,7 @@
 
 // hopeless reports whether the refusals leave no majority.
 func (p *Proposer) hopeless(value *Value) bool {
-	return !value.quorum(func(id string) bool {
+	return !value.Quorum(func(id string) bool {
 		answer, answered := p.answers[id]
 		return !answered || answer.Refusal == Agreed
 	})
@@ -220,7 +220,7 @@
 	if p.chosen == p.base.Ballot { // a higher one would say nothing of the base
 		return true
 	}
-	return p.base.Value.quorum(func(id string) bool {
+	return p.base.Value.Quorum(func(id string) bool {
 		answer, answered := p.answers[id]
 		return answered && answer.Refusal == Agreed && answer.Accepted == p.base.Ballot
 	})
@@ -273,7 +273,7 @@
 }
 
 func (p *Proposer) accepted() Output {
-	if !p.proposal.quorum(p.agreed) {
+	if !p.proposal.Quorum(p.agreed) {
 		return Output{}
 	}
 	former := p.base.Value.Members()
--- a/coordination/register/reader.go
+++ b/coordination/register/reader.go
@@ -39,7 +39,7 @@
 
 // Done reports whether a majority holds the known value, which is then chosen.
 func (r *Reader) Done() bool {
-	return r.known.Value.quorum(func(id string) bool {
+	return r.known.Value.Quorum(func(id string) bool {
 		answer, answered := r.answers[id]
 		return answered && answer.Accepted == r.known.Ballot
 	})
--- a/coordination/register/serve.go
+++ b/coordination/register/serve.go
@@ -70,7 +70,7 @@
 	if step.Write == nil {
 		return step.Reply
 	}
-	refusal := n.disk.write(step.Write)
+	refusal := n.disk.Write(step.Write)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var reply Reply
--- a/coordination/register/upkeep.go
+++ b/coordination/register/upkeep.go
@@ -78,11 +78,11 @@
 		if !chosen.Joint() && !chosen.Has(n.ID()) {
 			return nil
 		}
-		plan := n.membership(0)
-		if sameContent(&chosen, new(plan.plan(chosen))) {
+		plan := n.planner(0)
+		if sameContent(&chosen, new(plan.Next(chosen))) {
 			return nil
 		}
-		if _, err := n.propose(ctx, func(value Value) (Value, error) { return plan.plan(value), nil }); err != nil {
+		if _, err := n.propose(ctx, func(value Value) (Value, error) { return plan.Next(value), nil }); err != nil {
 			return err
 		}
 	}
@@ -94,7 +94,7 @@
 	return n.chosen
 }
 
-func (n *Node) membership(delay time.Duration) membership {
+func (n *Node) planner(delay time.Duration) Planner {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
@@ -102,17 +102,17 @@
 	if n.acceptor != nil {
 		self = n.acceptor.Self()
 	}
-	return membership{
-		self:    self,
-		target:  n.options.TargetReplicas,
-		most:    n.options.MaxReplicas,
-		leaving: n.leaving,
-		silence: func(replica Replica) time.Duration {
+	return Planner{
+		Self:    self,
+		Target:  n.options.TargetReplicas,
+		Most:    n.options.MaxReplicas,
+		Leaving: n.leaving,
+		Silence: func(replica Replica) time.Duration {
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			return n.silence(replica, now)
 		},
-		removeAfter: n.options.RemoveAfter + delay,
+		RemoveAfter: n.options.RemoveAfter + delay,
 	}
 }
 
@@ -161,14 +161,14 @@
 	if len(chosen.Replicas) == 0 {
 		return u.settle(n, now)
 	}
-	plan := n.membership(rankDelay * time.Duration(rank(&chosen, n)))
-	if sameContent(&chosen, new(plan.plan(chosen))) {
+	plan := n.planner(rankDelay * time.Duration(rank(&chosen, n)))
+	if sameContent(&chosen, new(plan.Next(chosen))) {
 		return u.settle(n, now)
 	}
 	if !u.mayChange(n, &chosen, now) {
 		return nil
 	}
-	return func(value Value) (Value, error) { return plan.plan(value), nil }
+	return func(value Value) (Value, error) { return plan.Next(value), nil }
 }
 
 // mayChange holds a change back: a joint set is finished by whoever made it, unless it takes too long; a newcomer hears of
--- a/coordination/register/value.go
+++ b/coordination/register/value.go
@@ -67,8 +67,8 @@
 	return slices.ContainsFunc(v.Replicas, func(r Replica) bool { return r.ID == id })
 }
 
-// quorum reports whether those that agree are a majority of the set, or of both sets.
-func (v *Value) quorum(agrees func(id string) bool) bool {
+// Quorum reports whether those that agree are a majority of the set, or of both sets.
+func (v *Value) Quorum(agrees func(id string) bool) bool {
 	return majority(v.Replicas, agrees) && (!v.Joint() || majority(v.Previous, agrees))
 }
 
--- a/coordination/watch/follower.go
+++ b/coordination/watch/follower.go
@@ -31,12 +31,15 @@
 	MaxQuorumAge time.Duration
 	Wait         time.Duration // how long a source may hold a poll; 0: the default
 	Grace        time.Duration // beyond the wait until a source counts as silent; 0: the default
+	// Jitter spreads the polls of followers, in [0, 1); nil: at random.
+	Jitter func() float64
 	// Hint may add to each request before it is sent; nil: nothing is added.
 	Hint func(*fleetwire.WatchRequest)
 	Log  *zap.Logger // nil: nothing is logged
 }
 
-// Follower keeps a snapshot up to date by polling one of several sources.
+// Follower keeps a snapshot up to date by polling one of several sources. Run drives it; a simulation may do so instead, by
+// Next, Answered and Failed, which take the time and use no clock, socket or goroutine.
 type Follower struct {
 	options FollowerOptions
 	choice  *Choice
@@ -55,13 +58,16 @@
 	if options.Log == nil {
 		options.Log = zap.NewNop()
 	}
+	if options.Jitter == nil {
+		options.Jitter = rand.Float64
+	}
 	follower := &Follower{options: options}
 	follower.choice = NewChoice(ChoiceOptions{
 		Node:         options.Self.Name,
 		Wait:         options.Wait,
 		Grace:        options.Grace,
 		MaxQuorumAge: options.MaxQuorumAge,
-		Jitter:       rand.Float64,
+		Jitter:       options.Jitter,
 	})
 	return follower
 }
@@ -70,26 +76,35 @@
 func (f *Follower) Current() *Snapshot { return f.current.Load() }
 
 // QuorumAge tells how long ago a majority was heard by a source, as far as this follower knows.
-func (f *Follower) QuorumAge() time.Duration {
+func (f *Follower) QuorumAge() time.Duration { return f.quorumAgeAt(time.Now()) }
+
+func (f *Follower) quorumAgeAt(now time.Time) time.Duration {
 	heard := f.heard.Load()
 	if heard == nil {
 		return unknownAge
 	}
-	return ageAt(time.Now(), *heard)
+	return ageAt(now, *heard)
 }
 
 // Run polls until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		ask := f.choice.Next(time.Now(), f.known, f.options.Sources())
+		ask, request := f.Next(time.Now())
 		if !sleep(ctx, ask.Delay) || ask.Address == "" {
 			continue
 		}
-		f.poll(ctx, ask)
+		f.poll(ctx, ask, &request)
 		f.noteSource()
 	}
 }
 
+// Next returns the next poll. Without an address there is nobody to ask, and Next is to be called again after the delay.
+func (f *Follower) Next(now time.Time) (Ask, fleetwire.WatchRequest) {
+	ask := f.choice.Next(now, f.known, f.options.Sources())
+	request := fleetwire.WatchRequest{Have: f.held.snapshot.Version, WaitMs: ask.Wait.Milliseconds(), Member: f.options.Self}
+	return ask, request
+}
+
 // Source returns the address of the hub that serves, or nothing while none does.
 func (f *Follower) Source() string {
 	if source := f.source.Load(); source != nil {
@@ -122,28 +137,35 @@
 	}
 }
 
-func (f *Follower) poll(ctx context.Context, ask Ask) {
-	request := fleetwire.WatchRequest{Have: f.held.snapshot.Version, WaitMs: ask.Wait.Milliseconds(), Member: f.options.Self}
+func (f *Follower) poll(ctx context.Context, ask Ask, request *fleetwire.WatchRequest) {
 	if f.options.Hint != nil {
-		f.options.Hint(&request)
+		f.options.Hint(request)
 	}
 	callContext, cancel := context.WithTimeout(ctx, ask.Deadline)
 	defer cancel()
 	sent := time.Now()
 	var reply fleetwire.WatchReply
-	err := f.options.Client.Call(callContext, ask.Address, fleetwire.PathWatch, &request, &reply)
+	err := f.options.Client.Call(callContext, ask.Address, fleetwire.PathWatch, request, &reply)
 	if err != nil {
-		f.choice.Failed(time.Now(), ask)
+		f.Failed(time.Now(), ask)
 		return
 	}
-	if err := f.take(&reply, sent); err != nil {
+	f.Answered(time.Now(), sent, ask, &reply)
+}
+
+// Failed notes that a poll got no answer in time.
+func (f *Follower) Failed(now time.Time, ask Ask) { f.choice.Failed(now, ask) }
+
+// Answered takes the answer to a poll that was sent at the given moment.
+func (f *Follower) Answered(now, sent time.Time, ask Ask, reply *fleetwire.WatchReply) {
+	if err := f.take(reply, sent, now); err != nil {
 		f.options.Log.Warn("watch answer", zap.String("address", ask.Address), zap.Error(err))
-		f.choice.Failed(time.Now(), ask)
+		f.choice.Failed(now, ask)
 		return
 	}
-	age := fromMillis(reply.QuorumAgeMs) + transit(&reply, sent, time.Now())
+	age := fromMillis(reply.QuorumAgeMs) + transit(reply, sent, now)
 	behind := reply.Now.ConfigRevision < f.held.snapshot.Version.ConfigRevision
-	f.choice.Answered(time.Now(), ask, age, behind)
+	f.choice.Answered(now, ask, age, behind)
 }
 
 // transit bounds the time that an answer was on its way: all of the call that its source didn't hold it.
@@ -153,8 +175,7 @@
 
 // take adopts what an answer brings. The first snapshot is taken only from a source in touch with the majority; after it,
 // whatever is newer is taken from any, as what has once been chosen stays chosen.
-func (f *Follower) take(reply *fleetwire.WatchReply, sent time.Time) error {
-	now := time.Now()
+func (f *Follower) take(reply *fleetwire.WatchReply, sent, now time.Time) error {
 	onTheWay := transit(reply, sent, now)
 	quorumAge := fromMillis(reply.QuorumAgeMs) + onTheWay
 	inTouch := quorumAge <= f.options.MaxQuorumAge
@@ -224,7 +245,7 @@
 	f.held = *next
 	snapshot := next.snapshot
 	snapshot.At = now
-	snapshot.QuorumAge = f.QuorumAge()
+	snapshot.QuorumAge = f.quorumAgeAt(now)
 	snapshot.ListAge = ageAt(now, next.confirmed)
 	f.current.Store(&snapshot)
 	if f.options.Relay != nil {
