weldhollow: what the control of a fleet costs as it grows, by hollow members

Many real agents and routers without clients now run in one process before real controllers and a list of workers that don't exist; idle, configurations, lists of workers, restarts and failures are measured one after the other, at several numbers of schedulers, and printed with their lines of least squares or drawn on a page. The plots of weldreport move to a package that both use.

--- a/cmd/weldreport/main.go
+++ b/cmd/weldreport/main.go
@@ -15,11 +15,9 @@
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/palette/moreland"
 	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/vg"
-	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
 
 	"weldscale/internal/emulator"
+	"weldscale/internal/plots"
 )
 
 type cli struct {
@@ -77,7 +75,7 @@
 				return fmt.Errorf("run %d: %w", i, err)
 			}
 			if p != nil {
-				svg, err := render(p)
+				svg, err := plots.Render(p)
 				if err != nil {
 					return err
 				}
@@ -138,7 +136,7 @@
 			line = append(line, plotter.XY{X: float64(w.From)/second + 2.5, Y: w.Reached / w.Worth})
 		}
 	}
-	return p, add(p, "", line, color.NRGBA{B: 160, A: 255})
+	return p, plots.Line(p, "", line, color.NRGBA{B: 160, A: 255})
 }
 
 // queues is what waits at boxes, and what is free.
@@ -158,26 +156,10 @@
 		return nil, err
 	}
 	p.Legend.Top = true
-	if err := add(p, "waiting", queue, color.NRGBA{R: 180, A: 255}); err != nil {
+	if err := plots.Line(p, "waiting", queue, color.NRGBA{R: 180, A: 255}); err != nil {
 		return nil, err
 	}
-	return p, add(p, "free slots", free, color.NRGBA{G: 130, A: 255})
-}
-
-func add(p *plot.Plot, name string, line plotter.XYs, c color.Color) error {
-	if len(line) == 0 {
-		return nil
-	}
-	l, err := plotter.NewLine(line)
-	if err != nil {
-		return err
-	}
-	l.Color = c
-	p.Add(l)
-	if name != "" {
-		p.Legend.Add(name, l)
-	}
-	return nil
+	return p, plots.Line(p, "free slots", free, color.NRGBA{G: 130, A: 255})
 }
 
 // grid is what each box holds over time, as a heat map asks for it.
@@ -211,18 +193,3 @@
 	p.Add(plotter.NewHeatMap(g, moreland.ExtendedBlackBody().Palette(32)))
 	return p, nil
 }
-
-// render is a plot as a picture within the page.
-func render(p *plot.Plot) (template.HTML, error) {
-	c := vgsvg.New(18*vg.Centimeter, 6.5*vg.Centimeter)
-	p.Draw(draw.New(c))
-	var out bytes.Buffer
-	if _, err := c.WriteTo(&out); err != nil {
-		return "", err
-	}
-	_, svg, ok := bytes.Cut(out.Bytes(), []byte("<svg"))
-	if !ok {
-		return "", fmt.Errorf("no picture came of a plot")
-	}
-	return template.HTML("<svg" + string(svg)), nil // the library's own, with no text of the results' but numbers
-}
--- a/coordination/transport/transport.go
+++ b/coordination/transport/transport.go
@@ -32,11 +32,19 @@
 	http *http.Transport
 }
 
+// Dial opens a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClient returns a client with its own connections.
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	return NewClientDialing(dialer.DialContext)
+}
+
+// NewClientDialing returns a client whose connections a function opens.
+func NewClientDialing(dial Dial) *Client {
 	return &Client{http: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idleConnsPerAddress,
 		IdleConnTimeout:     idleTimeout,
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -49,7 +49,12 @@
 
 // New returns an agent that knows nothing yet.
 func New(current *settings.Settings, log *zap.Logger) *Agent {
-	agent := &Agent{log: log, client: transport.NewClient()}
+	return NewCalling(current, transport.NewClient(), log)
+}
+
+// NewCalling returns an agent that calls the controllers by a client of the caller's. The agent closes it in the end.
+func NewCalling(current *settings.Settings, client *transport.Client, log *zap.Logger) *Agent {
+	agent := &Agent{log: log, client: client}
 	agent.settings.Store(current)
 	agent.hub = watch.NewHub(watch.HubOptions{
 		QuorumAge:    func() time.Duration { return agent.follower.QuorumAge() },
@@ -75,6 +80,9 @@
 	}
 }
 
+// Source returns the internal address of the controller that the agent follows, or nothing while it follows none.
+func (a *Agent) Source() string { return a.follower.Source() }
+
 // Serve follows the controllers and serves the router at the listener until ctx is done.
 func (a *Agent) Serve(ctx context.Context, listener net.Listener) error {
 	ctx, stop := context.WithCancel(ctx)
--- /dev/null
+++ b/internal/hollow/phase.go
@@ -0,0 +1,208 @@
+package hollow
+
+import (
+	"context"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"weldscale/internal/fleetclient"
+	"weldscale/internal/standin/fleet"
+)
+
+// playPhases plays the loads one after the other. Each begins once the one before is in force everywhere.
+func (r *round) playPhases(ctx context.Context) error {
+	span := r.options.Phase
+	count := func(every time.Duration) int { return int(span / every) }
+	configs, lists, restarts := count(r.options.ConfigEvery), count(r.options.ListEvery), count(r.options.RestartEvery)
+	phases := []Phase{
+		{Name: phaseIdle, Span: span},
+		{Name: phaseConfigs, Span: span, Configs: configs},
+		{Name: phaseLists, Span: span, Lists: lists},
+		{Name: phaseAll, Span: span, Configs: configs, Lists: lists, Restarts: restarts},
+	}
+	var configTook, listTook []time.Duration
+	for _, phase := range phases {
+		if err := r.playPhase(ctx, &phase); err != nil {
+			return err
+		}
+		took, missed := r.closeChanges(ctx)
+		r.result.Missed += missed
+		switch phase.Name {
+		case phaseConfigs:
+			configTook = append(configTook, took...)
+		case phaseLists:
+			listTook = append(listTook, took...)
+		}
+		r.result.Phases = append(r.result.Phases, phase)
+		r.say("%s played", phase.Name)
+	}
+	r.result.Config, r.result.List = spreadOf(configTook), spreadOf(listTook)
+	return nil
+}
+
+// closeChanges waits a while for the last changes to reach everyone and returns how long each took.
+func (r *round) closeChanges(ctx context.Context) ([]time.Duration, int) {
+	limit := time.After(lastChangeSpan)
+	for _, c := range r.notes.pending() {
+		select {
+		case <-c.all:
+		case <-limit:
+			return r.notes.close()
+		case <-ctx.Done():
+			return r.notes.close()
+		}
+	}
+	return r.notes.close()
+}
+
+// pending returns the open changes.
+func (b *book) pending() []*change {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return slices.Clone(b.open)
+}
+
+func (r *round) playPhase(ctx context.Context, phase *Phase) error {
+	before, err := r.measure(ctx)
+	if err != nil {
+		return err
+	}
+	if err := r.load(ctx, phase); err != nil {
+		return err
+	}
+	after, err := r.measure(ctx)
+	if err != nil {
+		return err
+	}
+	phase.fill(before, after, len(r.members))
+	return nil
+}
+
+// load makes the changes of a phase.
+func (r *round) load(ctx context.Context, phase *Phase) error {
+	var working sync.WaitGroup
+	failures := make([]error, 3)
+	start := func(i, count int, do func(i int) error) {
+		working.Go(func() { failures[i] = pace(ctx, phase.Span, count, do) })
+	}
+	start(0, phase.Configs, func(int) error { return r.changeConfig(ctx) })
+	start(1, phase.Lists, func(int) error { r.changeList(); return nil })
+	start(2, phase.Restarts, r.restartMember)
+	working.Wait()
+	for _, err := range failures {
+		if err != nil {
+			return err
+		}
+	}
+	return wait(ctx, phaseTail)
+}
+
+// phaseTail lets the last change of a phase take effect while it is still measured.
+const phaseTail = 700 * time.Millisecond
+
+// measurement is what all processes have used up to a moment.
+type measurement struct {
+	at          time.Time
+	reader      int // index of the controller that reads the list, -1 if none is known
+	controllers []usage
+	agents      []usage
+	routers     []usage
+	harness     usage
+	read        int64 // by hollow agents from controllers
+	written     int64
+}
+
+func (r *round) measure(ctx context.Context) (*measurement, error) {
+	out := &measurement{reader: r.reader(ctx), at: time.Now(), read: r.counted.read.Load(), written: r.counted.written.Load()}
+	var err error
+	if out.harness, err = readUsage(os.Getpid()); err != nil {
+		return nil, err
+	}
+	for _, class := range []struct {
+		into      *[]usage
+		processes []*fleet.Process
+	}{{&out.controllers, r.fleet.Controllers}, {&out.agents, r.fleet.Agents}, {&out.routers, r.fleet.Routers}} {
+		for _, process := range class.processes {
+			used, err := readUsage(process.PID())
+			if err != nil {
+				return nil, err
+			}
+			*class.into = append(*class.into, used)
+		}
+	}
+	return out, nil
+}
+
+// reader returns the index of the controller that reads the platform's list, or -1.
+func (r *round) reader(ctx context.Context) int {
+	const surveyTimeout = 2 * time.Second
+	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
+	defer cancel()
+	internals := r.fleet.Internals()
+	for _, probe := range fleetclient.Survey(ctx, internals) {
+		if probe.Err == nil && len(probe.Status.Held) > 0 {
+			return slices.Index(internals, probe.Address)
+		}
+	}
+	return -1
+}
+
+// fill works out what each process used between two measurements.
+func (p *Phase) fill(before, after *measurement, members int) {
+	p.Span = after.at.Sub(before.at)
+	var others []Cost
+	for i := range after.controllers {
+		cost := costOf(before.controllers[i], after.controllers[i], p.Span)
+		if i == after.reader {
+			p.Reader = cost
+		} else {
+			others = append(others, cost)
+		}
+	}
+	p.Controller = meanCost(others)
+	p.Agent = meanCost(costsOf(before.agents, after.agents, p.Span))
+	p.Router = meanCost(costsOf(before.routers, after.routers, p.Span))
+	p.Member = costOf(before.harness, after.harness, p.Span).dividedBy(members)
+	p.Member.In = perSecond(float64(after.read-before.read), p.Span) / float64(members)
+	p.Member.Out = perSecond(float64(after.written-before.written), p.Span) / float64(members)
+}
+
+func costsOf(before, after []usage, span time.Duration) []Cost {
+	var costs []Cost
+	for i := range after {
+		costs = append(costs, costOf(before[i], after[i], span))
+	}
+	return costs
+}
+
+func costOf(before, after usage, span time.Duration) Cost {
+	used := after.minus(before)
+	return Cost{
+		CPU:    perSecond(used.CPU.Seconds(), span),
+		In:     perSecond(float64(used.Read), span),
+		Out:    perSecond(float64(used.Written), span),
+		Memory: float64(used.Resident),
+	}
+}
+
+func (c Cost) dividedBy(count int) Cost {
+	by := float64(count)
+	return Cost{CPU: c.CPU / by, In: c.In / by, Out: c.Out / by, Memory: c.Memory / by}
+}
+
+func (c Cost) plus(other Cost) Cost {
+	return Cost{CPU: c.CPU + other.CPU, In: c.In + other.In, Out: c.Out + other.Out, Memory: c.Memory + other.Memory}
+}
+
+func meanCost(costs []Cost) Cost {
+	if len(costs) == 0 {
+		return Cost{}
+	}
+	var sum Cost
+	for _, cost := range costs {
+		sum = sum.plus(cost)
+	}
+	return sum.dividedBy(len(costs))
+}
--- /dev/null
+++ b/internal/hollow/site_test.go
@@ -0,0 +1,73 @@
+package hollow
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"weldscale/internal/fleetconfig"
+	"weldscale/internal/standin/platform"
+)
+
+func smallSite() site {
+	return site{models: 3, tenants: 7, workers: 500, zones: zones, subnet: "127.0.16"}
+}
+
+// The configurations are ones that controllers take, and one route differs from version to version.
+func TestConfigIsValid(t *testing.T) {
+	body, err := json.Marshal(smallSite().config(5))
+	require.NoError(t, err)
+	config, err := fleetconfig.Parse(body)
+	require.NoError(t, err)
+	assert.Len(t, config.Routes, 7)
+	assert.Len(t, config.Services, 3)
+	differ := 0
+	after := smallSite().config(6)
+	before := smallSite().config(5)
+	for i := range before.Routes {
+		if before.Routes[i].TimeoutMs != after.Routes[i].TimeoutMs {
+			differ++
+		}
+	}
+	assert.Equal(t, 2, differ, "one goes back and one moves")
+}
+
+// Workers have ids and addresses of their own, and a bit more than a third of them reads prompts.
+func TestList(t *testing.T) {
+	ids, addresses, prefill := map[string]bool{}, map[string]bool{}, 0
+	for _, worker := range smallSite().list() {
+		ids[worker.ID], addresses[worker.Address] = true, true
+		if worker.Stage == "prefill" {
+			prefill++
+		}
+	}
+	assert.Len(t, ids, 500)
+	assert.Len(t, addresses, 500)
+	assert.Equal(t, 180, prefill)
+}
+
+// Each change makes one worker differ from what it was before.
+func TestChangedWorker(t *testing.T) {
+	all := map[string]platform.Instance{}
+	for _, worker := range smallSite().list() {
+		all[worker.ID] = worker
+	}
+	for change := 1; change < 2000; change++ {
+		worker := smallSite().changedWorker(change)
+		assert.NotEqual(t, all[worker.ID], worker)
+		all[worker.ID] = worker
+	}
+	assert.Len(t, all, 500)
+}
+
+// Members have addresses of their own.
+func TestMemberSettings(t *testing.T) {
+	addresses := map[string]bool{}
+	for i := range 1000 {
+		addresses[memberSettings(i, i, "127.0.16", zones, nil).AgentAddress()] = true
+	}
+	assert.Len(t, addresses, 1000)
+	assert.Contains(t, addresses, "127.16.1.1:7721")
+}
--- /dev/null
+++ b/internal/hollow/table.go
@@ -0,0 +1,181 @@
+package hollow
+
+import (
+	"fmt"
+	"io"
+	"time"
+)
+
+// Row is one figure at each number of schedulers, with the line through its points.
+type Row struct {
+	Name   string
+	Unit   string
+	Values []float64
+	Fit    Fit
+}
+
+// Table is what the rounds have measured, as rows of figures.
+type Table struct {
+	Schedulers []int
+	Rows       []Row
+}
+
+// NewTable works out the rows.
+func NewTable(rounds []Round) Table {
+	var table Table
+	for _, round := range rounds {
+		table.Schedulers = append(table.Schedulers, round.Schedulers)
+	}
+	for _, figure := range figures {
+		table.Rows = append(table.Rows, newRow(figure, rounds))
+	}
+	for i := range noticesOf(rounds) {
+		table.Rows = append(table.Rows, noticeRows(rounds, i)...)
+	}
+	return table
+}
+
+func newRow(figure figure, rounds []Round) Row {
+	row := Row{Name: figure.name, Unit: figure.unit}
+	var xs []float64
+	for i := range rounds {
+		xs = append(xs, float64(rounds[i].Schedulers))
+		row.Values = append(row.Values, figure.value(&rounds[i]))
+	}
+	row.Fit = fitLine(xs, row.Values)
+	return row
+}
+
+func noticesOf(rounds []Round) []Notice {
+	if len(rounds) == 0 {
+		return nil
+	}
+	return rounds[0].Notices
+}
+
+func noticeRows(rounds []Round, i int) []Row {
+	what := rounds[0].Notices[i].What
+	return []Row{
+		newRow(figure{what + ", p50", "ms", func(r *Round) float64 { return milliseconds(r.Notices[i].Took.P50) }}, rounds),
+		newRow(figure{what + ", worst", "ms", func(r *Round) float64 { return milliseconds(r.Notices[i].Took.Worst) }}, rounds),
+	}
+}
+
+// figure is how one row comes of a round.
+type figure struct {
+	name, unit string
+	value      func(*Round) float64
+}
+
+var figures = []figure{
+	{"agent, idle: processor", "% of a core", func(r *Round) float64 { return 100 * r.phase(phaseIdle).Agent.CPU }},
+	{"agent, idle: from controllers", "B/s", func(r *Round) float64 { return r.phase(phaseIdle).Member.In }},
+	{"agent, idle: to controllers", "B/s", func(r *Round) float64 { return r.phase(phaseIdle).Member.Out }},
+	{"agent: memory", "MB", func(r *Round) float64 { return megabytes(r.phase(phaseAll).Agent.Memory) }},
+	{"router, idle: processor", "% of a core", func(r *Round) float64 { return 100 * r.phase(phaseIdle).Router.CPU }},
+	{"router: memory", "MB", func(r *Round) float64 { return megabytes(r.phase(phaseAll).Router.Memory) }},
+	{"controller, idle: processor", "% of a core", func(r *Round) float64 { return 100 * r.phase(phaseIdle).Controller.CPU }},
+	{"controller, idle: in", "B/s", func(r *Round) float64 { return r.phase(phaseIdle).Controller.In }},
+	{"controller, idle: out", "B/s", func(r *Round) float64 { return r.phase(phaseIdle).Controller.Out }},
+	{"controller: memory", "MB", func(r *Round) float64 { return megabytes(r.phase(phaseAll).Controller.Memory) }},
+	{"reader, idle: processor", "% of a core", func(r *Round) float64 { return 100 * r.phase(phaseIdle).Reader.CPU }},
+	{"reader, idle: in", "B/s", func(r *Round) float64 { return r.phase(phaseIdle).Reader.In }},
+	{"reader: memory", "MB", func(r *Round) float64 { return megabytes(r.phase(phaseAll).Reader.Memory) }},
+	{"agent, a configuration: processor", "ms", perConfig(func(p Phase) float64 { return 1000 * p.Agent.CPU })},
+	{"agent, a configuration: from controllers", "B", perConfig(func(p Phase) float64 { return p.Member.In })},
+	{"router, a configuration: processor", "ms", perConfig(func(p Phase) float64 { return 1000 * p.Router.CPU })},
+	{"controller, a configuration: processor", "ms", perConfig(func(p Phase) float64 { return 1000 * p.Controller.CPU })},
+	{"controller, a configuration: out", "B", perConfig(func(p Phase) float64 { return p.Controller.Out })},
+	{"agent, a list: processor", "ms", perList(func(p Phase) float64 { return 1000 * p.Agent.CPU })},
+	{"agent, a list: from controllers", "B", perList(func(p Phase) float64 { return p.Member.In })},
+	{"router, a list: processor", "ms", perList(func(p Phase) float64 { return 1000 * p.Router.CPU })},
+	{"controller, a list: processor", "ms", perList(func(p Phase) float64 { return 1000 * p.Controller.CPU })},
+	{"controller, a list: out", "B", perList(func(p Phase) float64 { return p.Controller.Out })},
+	{"reader, a list: processor", "ms", perList(func(p Phase) float64 { return 1000 * p.Reader.CPU })},
+	{"reader, a list: out", "B", perList(func(p Phase) float64 { return p.Reader.Out })},
+	{"all, with restarts: agent's processor", "% of a core",
+		func(r *Round) float64 { return 100 * r.phase(phaseAll).Agent.CPU }},
+	{"all, with restarts: controller's processor", "% of a core",
+		func(r *Round) float64 { return 100 * r.phase(phaseAll).Controller.CPU }},
+	{"all, with restarts: controller out", "B/s", func(r *Round) float64 { return r.phase(phaseAll).Controller.Out }},
+	{"harness, a member: processor, idle", "% of a core", func(r *Round) float64 { return 100 * r.phase(phaseIdle).Member.CPU }},
+	{"harness, a member: memory", "MB", func(r *Round) float64 { return megabytes(r.phase(phaseAll).Member.Memory) }},
+	{"start of all at once: p50", "ms", func(r *Round) float64 { return milliseconds(r.Start.P50) }},
+	{"start of all at once: worst", "ms", func(r *Round) float64 { return milliseconds(r.Start.Worst) }},
+	{"configuration, acknowledged to in force: p50", "ms", func(r *Round) float64 { return milliseconds(r.Config.P50) }},
+	{"configuration, acknowledged to in force: p99", "ms", func(r *Round) float64 { return milliseconds(r.Config.P99) }},
+	{"configuration, acknowledged to in force: worst", "ms", func(r *Round) float64 { return milliseconds(r.Config.Worst) }},
+	{"list, platform to router: p50", "ms", func(r *Round) float64 { return milliseconds(r.List.P50) }},
+	{"list, platform to router: p99", "ms", func(r *Round) float64 { return milliseconds(r.List.P99) }},
+	{"list, platform to router: worst", "ms", func(r *Round) float64 { return milliseconds(r.List.Worst) }},
+	{"changes that a router never had", "", func(r *Round) float64 { return float64(r.Missed) }},
+}
+
+// phase returns the phase of that name; an empty one if it was not played.
+func (r *Round) phase(name string) Phase {
+	for _, phase := range r.Phases {
+		if phase.Name == name {
+			return phase
+		}
+	}
+	return Phase{}
+}
+
+// perConfig returns what one configuration adds to a rate of the idle phase.
+func perConfig(rate func(Phase) float64) func(*Round) float64 {
+	return func(r *Round) float64 {
+		phase := r.phase(phaseConfigs)
+		return perChange(rate(phase), rate(r.phase(phaseIdle)), phase.Span, phase.Configs)
+	}
+}
+
+// perList returns what one change of the list adds to a rate of the idle phase.
+func perList(rate func(Phase) float64) func(*Round) float64 {
+	return func(r *Round) float64 {
+		phase := r.phase(phaseLists)
+		return perChange(rate(phase), rate(r.phase(phaseIdle)), phase.Span, phase.Lists)
+	}
+}
+
+// perChange returns the amount that each of some changes in a span adds to an idle rate.
+func perChange(rate, idle float64, span time.Duration, changes int) float64 {
+	if changes == 0 {
+		return 0
+	}
+	return (rate - idle) * span.Seconds() / float64(changes)
+}
+
+func milliseconds(span time.Duration) float64 { return float64(span) / float64(time.Millisecond) }
+
+func megabytes(bytes float64) float64 { return bytes / (1 << 20) }
+
+// Write prints the table: a row for each figure, a column for each number of schedulers, then the line of least squares.
+func (t Table) Write(w io.Writer) error {
+	const name = "%-66s %-12s"
+	header := fmt.Sprintf(name, "schedulers", "")
+	for _, schedulers := range t.Schedulers {
+		header += fmt.Sprintf(" %10d", schedulers)
+	}
+	if _, err := fmt.Fprintf(w, "%s   line of least squares, R2\n", header); err != nil {
+		return err
+	}
+	for _, row := range t.Rows {
+		line := fmt.Sprintf(name, row.Name, row.Unit)
+		for _, value := range row.Values {
+			line += fmt.Sprintf(" %10s", number(value))
+		}
+		fit := fmt.Sprintf("%s + %s n, %.2f", number(row.Fit.Base), number(row.Fit.Slope), row.Fit.R2)
+		if _, err := fmt.Fprintf(w, "%s   %s\n", line, fit); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// number writes a value to three digits or, where it is larger, as a whole number.
+func number(value float64) string {
+	if value >= 1000 || value <= -1000 {
+		return fmt.Sprintf("%.0f", value)
+	}
+	return fmt.Sprintf("%.3g", value)
+}
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -69,7 +69,7 @@
 func (r *Router) run(ctx context.Context, current *settings.Settings, frontend, readiness net.Listener) error {
 	following, stopFollowing := context.WithCancel(context.Background())
 	defer stopFollowing()
-	go r.follow(following, current)
+	go Follow(following, current, r.Update, r.options.Log)
 	idle := newIdleConns()
 	clients := &http.Server{Handler: r, MaxHeaderBytes: maxHeaderBytes, ConnState: idle.track}
 	probes := &http.Server{Handler: r.ReadinessHandler(), IdleTimeout: defaultIdleAllowed}
@@ -87,8 +87,8 @@
 	return nil
 }
 
-// follow keeps the snapshot up to date from the agent of this machine.
-func (r *Router) follow(ctx context.Context, current *settings.Settings) {
+// Follow calls onChange with each new snapshot of the agent of this machine until ctx is done.
+func Follow(ctx context.Context, current *settings.Settings, onChange func(*watch.Snapshot), log *zap.Logger) {
 	agent := []string{current.AgentAddress()}
 	follower := watch.NewFollower(watch.FollowerOptions{
 		Self: fleetwire.Member{
@@ -100,9 +100,9 @@
 		},
 		Sources:      func() []string { return agent },
 		Client:       transport.NewClient(),
-		OnChange:     r.Update,
+		OnChange:     onChange,
 		MaxQuorumAge: agentMaxQuorumAge,
-		Log:          r.options.Log,
+		Log:          log,
 	})
 	follower.Run(ctx)
 }
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -181,6 +181,9 @@
 	return out
 }
 
+// Subnet returns the first three bytes of the IPs of the fleet's machines, as in "127.0.16".
+func (f *Fleet) Subnet() string { return f.subnet }
+
 // Controls returns the addresses of the controllers for an operator.
 func (f *Fleet) Controls() []string { return f.controls() }
 
--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -113,6 +113,16 @@
 	close(ended)
 }
 
+// PID returns the id of the running process, or 0 before the start.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil || p.command.Process == nil {
+		return 0
+	}
+	return p.command.Process.Pid
+}
+
 // Signal sends a signal.
 func (p *Process) Signal(signal os.Signal) error {
 	p.mu.Lock()
