Membership: a test of a group that monitored only itself

With fleets of up to 14 the properties no longer reach that flaw: without the question in turn they pass. Five fixed fleets of 28 with 25 deaths hold it; without the question they fail.

--- a/coordination/membership/detector_test.go
+++ b/coordination/membership/detector_test.go
@@ -42,6 +42,21 @@
 	})
 }
 
+// TestAGroupThatMonitoredOnlyItselfIsNoticed has most of a larger fleet die at once: then some of the dead have only dead
+// monitors, in whatever way others take the places of those known to be dead.
+func TestAGroupThatMonitoredOnlyItselfIsNoticed(t *testing.T) {
+	const fleet, victims = 28, 25
+	for seed := range uint64(5) {
+		s := newSimulation(seed, fleet)
+		s.run(joinIntervals, nil)
+		for _, node := range s.nodes[:victims] {
+			node.down = true
+		}
+		s.run(fleet+noticeIntervals, nil)
+		require.Empty(t, s.disagreement())
+	}
+}
+
 // requireNoticed demands that some running member holds each victim for dead.
 func (s *simulation) requireNoticed(t *rapid.T, victims []*simulated) {
 	for _, victim := range victims {
