--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -305,18 +305,26 @@
 
 func TestAWorkerDiesWithinStreams(t *testing.T) {
 	b := newBed(t, Options{})
-	const ofEach = 10
 	crowd := b.crowd("in", b.options.Zones[0], b.Entry.Pick, nil)
 	var streams sync.WaitGroup
-	for i := range ofEach {
-		for _, name := range []string{KindDraft, KindVerdict} {
+	send := func(name string, tokens int) {
+		for i := range 10 {
 			long := *kindNamed(name)
-			long.Output, long.Retries = 400, 0
+			long.Output, long.Retries = tokens, 0
 			streams.Go(func() { crowd.Send(&long, fmt.Sprintf("%s-%d", name, i), uint64(i)) })
 		}
 	}
-	dead := b.workers.Decode[0]
-	b.await("half of the streams run on one worker", func() bool { return dead.Running() >= ofEach-1 })
+	send(KindDraft, 1000)
+	send(KindVerdict, 600)
+	var dead *llmworker.Worker
+	b.await("streams of both kinds run on one worker", func() bool {
+		for _, dead = range b.workers.Decode {
+			if b.Judge.RunsAt(dead.ID(), KindDraft) >= 2 && b.Judge.RunsAt(dead.ID(), KindVerdict) >= 2 {
+				return true
+			}
+		}
+		return false
+	})
 	dead.Crash()
 	streams.Wait()
 	b.Platform.Remove(dead.ID())
--- a/internal/standin/fleet/site.go
+++ b/internal/standin/fleet/site.go
@@ -18,8 +18,8 @@
 
 // The names of the small site's kinds of requests.
 const (
-	KindDraft   = "draft"   // a long prompt and a stream that can't be resumed
-	KindVerdict = "verdict" // a short prompt and a stream that can
+	KindDraft   = "draft"   // a long prompt, read by a prefill worker, and a stream that can't be resumed
+	KindVerdict = "verdict" // a short prompt, and a stream that can be resumed
 	KindNotice  = "notice"  // plain, must not run twice
 	KindCard    = "card"    // plain, may be repeated
 )
@@ -64,7 +64,7 @@
 	}
 	return []*client.Kind{
 		{Name: KindDraft, Route: streaming(KindDraft, 500, 8000, 1, false), PerSecond: 5, Deadline: 8 * time.Second, Retries: 1, Body: 4000,
-			Output: 36, Shared: 512, Subject: 1600, Subjects: 10, Own: 800},
+			Output: 36, Shared: 512, Subject: 1600, Subjects: 10, Own: 4000},
 		{Name: KindVerdict, Route: streaming(KindVerdict, 300, 5000, 0, true), PerSecond: 10, Deadline: 5 * time.Second, Retries: 1, Body: 1000,
 			Output: 6, Shared: 256, Subject: 240, Subjects: 20, Own: 300},
 		{Name: KindNotice, Route: plain(KindNotice, "unsafe"), PerSecond: 8, Deadline: 3 * time.Second, Retries: 1, Body: 600},
--- a/internal/standin/judge/judge.go
+++ b/internal/standin/judge/judge.go
@@ -373,6 +373,19 @@
 	return strings.Join(text, "\n")
 }
 
+// RunsAt is how many requests whose ids begin with prefix have begun to run at a worker.
+func (j *Judge) RunsAt(worker, prefix string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	n := 0
+	for id, r := range j.requests {
+		if strings.HasPrefix(id, prefix) && slices.ContainsFunc(r.runs, func(run Run) bool { return run.Worker == worker }) {
+			n++
+		}
+	}
+	return n
+}
+
 // Runs returns the runs of a request.
 func (j *Judge) Runs(id string) []Run {
 	j.mu.Lock()
