After a start requests wait for the first list; agents stay for routers that drain

An agent ended at once on SIGTERM while its router drained on with an old list. Change: the number of routers is told as unknown for that second instead; first calls may take 150 ms; a router holds what comes before its first list for up to 0.8 s; an agent stays while its router polls.

--- a/coordination/watch/choice.go
+++ b/coordination/watch/choice.go
@@ -14,7 +14,7 @@
 	// firstDeadline bounds the first call to a hub, which is answered at once. It doubles to maxFirstDeadline after a round
 	// that failed, for the sake of slow links. It grows no further: a round over three silent hubs must end within the time
 	// in which a machine has to be up to date after a cut.
-	firstDeadline    = 400 * time.Millisecond
+	firstDeadline    = 150 * time.Millisecond
 	maxFirstDeadline = 800 * time.Millisecond
 	// The back-off between rounds in which no hub was good. Its upper end is small: while nothing is known, nothing is served.
 	minBackoff = 40 * time.Millisecond
--- a/coordination/watch/follower.go
+++ b/coordination/watch/follower.go
@@ -223,7 +223,9 @@
 }
 
 func (f *Follower) setMembers(next *state, reply *fleetwire.WatchReply) {
-	next.snapshot.Routers = max(reply.Routers, 1)
+	if reply.Routers > 0 { // one that was just started can't tell, and what is held is better than nothing
+		next.snapshot.Routers = reply.Routers
+	}
 	if len(reply.Controllers) == 0 || slices.Equal(reply.Controllers, f.known) {
 		return
 	}
--- a/coordination/watch/hub.go
+++ b/coordination/watch/hub.go
@@ -66,7 +66,7 @@
 		options.MaxWait = DefaultMaxWait
 	}
 	hub := &Hub{options: options, closed: make(chan struct{})}
-	hub.state.Store(&state{snapshot: Snapshot{Routers: 1}, changed: make(chan struct{})})
+	hub.state.Store(&state{changed: make(chan struct{})})
 	return hub
 }
 
@@ -133,12 +133,12 @@
 	h.update(func(next *state) { next.snapshot.Controllers = own })
 }
 
-// SetRouters makes the number of living routers known. It goes out with the next answers.
+// SetRouters makes the number of living routers known; 0: it is not known yet. It goes out with the next answers.
 func (h *Hub) SetRouters(count int) {
-	if h.state.Load().snapshot.Routers == max(count, 1) {
+	if h.state.Load().snapshot.Routers == max(count, 0) {
 		return
 	}
-	h.update(func(next *state) { next.snapshot.Routers = max(count, 1) })
+	h.update(func(next *state) { next.snapshot.Routers = max(count, 0) })
 }
 
 // update swaps the state for a changed copy and wakes the polls if its version moved on.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -26,6 +26,10 @@
 	headerTimeout   = 5 * time.Second
 	maxHeaderBytes  = 8 << 10
 	shutdownTimeout = 200 * time.Millisecond
+	// An agent that is told to end stays while its router polls: a router that drains must still hear of workers that do.
+	lingerPoll   = 100 * time.Millisecond
+	lingerSilent = 900 * time.Millisecond // a router that lives polls again within its longest wait and the way
+	lingerSpare  = time.Second            // of the grace, for the end itself
 )
 
 // Agent is the process beside a router.
@@ -35,6 +39,7 @@
 	client   *transport.Client
 	hub      *watch.Hub
 	follower *watch.Follower
+	polled   atomic.Pointer[time.Time] // when the router polled last
 }
 
 // Run runs an agent until ctx is done.
@@ -59,6 +64,7 @@
 	agent.hub = watch.NewHub(watch.HubOptions{
 		QuorumAge:    func() time.Duration { return agent.follower.QuorumAge() },
 		MaxQuorumAge: watch.RelayMaxQuorumAge,
+		Seen:         func(*fleetwire.WatchRequest) { agent.sawPoll() },
 	})
 	agent.follower = watch.NewFollower(watch.FollowerOptions{
 		Self:    self(current),
@@ -85,7 +91,8 @@
 
 // Serve follows the controllers and serves the router at the listener until ctx is done.
 func (a *Agent) Serve(ctx context.Context, listener net.Listener) error {
-	ctx, stop := context.WithCancel(ctx)
+	ended := ctx.Done()
+	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	server := &http.Server{Handler: a.handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	go a.follower.Run(ctx)
@@ -94,7 +101,8 @@
 	go func() { failed <- server.Serve(listener) }()
 	a.log.Info("agent serves", zap.String("address", listener.Addr().String()))
 	select {
-	case <-ctx.Done():
+	case <-ended:
+		a.linger()
 		return a.shutdown(server)
 	case err := <-failed:
 		return eris.Wrap(err, "serve the router")
@@ -108,6 +116,24 @@
 	return mux
 }
 
+func (a *Agent) sawPoll() {
+	now := time.Now()
+	a.polled.Store(&now)
+}
+
+// linger returns once the router has stopped polling, or the grace is nearly over.
+func (a *Agent) linger() {
+	latest := time.Now().Add(a.settings.Load().Bounds.Grace() - lingerSpare)
+	ticker := time.NewTicker(lingerPoll)
+	defer ticker.Stop()
+	for now := time.Now(); now.Before(latest); now = <-ticker.C {
+		polled := a.polled.Load()
+		if polled == nil || now.Sub(*polled) > lingerSilent {
+			return
+		}
+	}
+}
+
 // shutdown ends the router's poll with an answer and closes; the router lives on with what it has.
 func (a *Agent) shutdown(server *http.Server) error {
 	a.hub.Close()
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -20,8 +20,8 @@
 	"weldscale/internal/settings"
 )
 
-// settleTime is how long a controller that was restarted turns watchers away. Routers share the connections to a worker by
-// the number of routers that they are told: in this time, all that live have been seen polling or were told of.
+// settleTime is how long a controller that was started tells no number of routers. Routers share the connections to a worker
+// by that number: in this time, all that live have been seen polling or were told of.
 const settleTime = time.Second
 
 // controller ties the parts of one process together.
@@ -39,7 +39,7 @@
 	census   *census
 	poller   *instances.Poller
 
-	settledAt time.Time       // when watchers may stay
+	settledAt time.Time       // when the number of routers is known
 	ctx       context.Context // of the whole run, for work that no caller waits for
 	beatNow   chan struct{}
 	fetching  atomic.Bool
@@ -66,13 +66,9 @@
 		beatNow:  make(chan struct{}, 1),
 	}
 	c.roster = newRoster(c.self.Address, current.SeedInternalAddresses())
-	c.hub = watch.NewHub(watch.HubOptions{QuorumAge: c.watcherQuorumAge, MaxQuorumAge: maxQuorumAge, Seen: c.sawWatcher})
+	c.hub = watch.NewHub(watch.HubOptions{QuorumAge: node.QuorumAge, MaxQuorumAge: maxQuorumAge, Seen: c.sawWatcher})
 	c.leases = newLeases(c.self, current.Bootstrap)
-	if current.Bootstrap {
-		c.settledAt = c.leases.started
-	} else {
-		c.settledAt = c.leases.started.Add(settleTime)
-	}
+	c.settledAt = c.leases.started.Add(settleTime)
 	c.lists = newLists(c.hub, log)
 	reader := instances.NewReader(func() string { return latest.Load().Cloud.Address })
 	mayRead := func() (uint64, bool) { return c.leases.holds(roleReader) }
@@ -87,13 +83,12 @@
 	}
 }
 
-// watcherQuorumAge is the age that watchers are told. They are turned away for a moment after a restart.
-func (c *controller) watcherQuorumAge() time.Duration {
-	age := c.node.QuorumAge()
-	if time.Now().Before(c.settledAt) {
-		return max(age, 2*maxQuorumAge)
+// routers is the number of live routers, or 0 while it is not known.
+func (c *controller) routers(now time.Time) int {
+	if now.Before(c.settledAt) {
+		return 0
 	}
-	return age
+	return c.census.count(now)
 }
 
 // settingsChanged takes a new settings file.
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -27,7 +27,7 @@
 	for {
 		c.sendHeartbeats(ctx, false)
 		c.takeRoles(ctx)
-		c.hub.SetRouters(c.census.count(time.Now()))
+		c.hub.SetRouters(c.routers(time.Now()))
 		c.hub.SetControllers(c.roster.known(time.Now()))
 		select {
 		case <-ctx.Done():
--- a/internal/fleetwire/fleetwire.go
+++ b/internal/fleetwire/fleetwire.go
@@ -138,7 +138,7 @@
 	Config      Packed   // of Config
 	Instances   Packed   // of the whole list of Instance
 	Controllers []string // internal addresses of the known controllers, IP:PORT
-	Routers     int      // routers that the controllers know to be alive, at least 1
+	Routers     int      // routers that the controllers know to be alive; 0: not known yet
 	// QuorumAgeMs tells how long ago the controller behind this answer last heard a majority of the replicas. A watcher
 	// leaves a controller whose age grows beyond its bound.
 	QuorumAgeMs int64
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -24,6 +24,9 @@
 	retryAfterMost  = 600 * time.Millisecond
 )
 
+// AssumedRouters is the number of routers that share workers and budgets until the controllers tell it: rather too many.
+const AssumedRouters = 32
+
 // Options are what a placer is made of.
 type Options struct {
 	Zone         string
@@ -55,7 +58,7 @@
 		options.Prober = NewHTTPProber()
 	}
 	p := &Placer{options: options, start: time.Now(), zones: map[string]int{}, pools: map[poolKey]*pool{},
-		budgets: map[string]*Budget{}, routers: assumedRouters}
+		budgets: map[string]*Budget{}, routers: AssumedRouters}
 	p.zones[options.Zone] = 0
 	for _, zone := range options.Zones {
 		if _, known := p.zones[zone]; !known {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -20,7 +20,6 @@
 	usualUnits        = 4.0                   // of a prompt, until the first ones are seen
 	learnRate         = 0.05
 	maxClasses        = 512 // beyond it a class is shared: routes come and go
-	assumedRouters    = 4   // until the controllers tell
 )
 
 // pool places the work of one service and stage. It gives the dispatcher what it owes it (one call at a time, a clock, timers)
@@ -81,7 +80,7 @@
 		workers: map[decide.WorkerID]*worker{}, classes: map[classKey]int{}, units: usualUnits}
 	first := classKey{aim: time.Second, deadline: time.Second}
 	dispatch, err := decide.New(decide.Settings{
-		Nodes:        assumedRouters,
+		Nodes:        AssumedRouters,
 		Zone:         settings.zone,
 		Zones:        len(settings.zones),
 		Classes:      []decide.Class{first.class()},
--- a/internal/router/ingress.go
+++ b/internal/router/ingress.go
@@ -22,7 +22,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	id := incoming.Header.Get(headerRequestID)
-	current := r.view.Load()
+	current := r.awaitStart(incoming.Context())
 	if current == nil {
 		writeKind(w, id, KindNoConfiguration, r.options.RetryAfter)
 		return
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -8,13 +8,13 @@
 	"io"
 	"log"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"weldscale/coordination/watch"
-	"weldscale/internal/fleetwire"
 	"weldscale/internal/placement"
 	"weldscale/internal/router/upstream"
 )
@@ -45,6 +45,8 @@
 	options  Options
 	view     atomic.Pointer[view]
 	stopping atomic.Bool
+	started  chan struct{} // closed once there are a configuration and a list
+	starting sync.Once
 }
 
 // New returns a router that is not ready until Update gives it a first snapshot.
@@ -55,7 +57,7 @@
 	if options.RetryAfter == 0 {
 		options.RetryAfter = defaultRetryAfter
 	}
-	return &Router{options: options}
+	return &Router{options: options, started: make(chan struct{})}
 }
 
 // Update puts a newer snapshot into force. It is called by one goroutine.
@@ -73,12 +75,35 @@
 	}
 	r.options.Placer.Update(snapshot)
 	r.view.Store(next)
+	if next.hasList() {
+		r.starting.Do(func() { close(r.started) })
+	}
+}
+
+// awaitStart holds a request that came before the first configuration and list, which a restarted router has in a moment.
+func (r *Router) awaitStart(ctx context.Context) *view {
+	select {
+	case <-r.started:
+		return r.view.Load()
+	default:
+	}
+	timer := time.NewTimer(startPatience)
+	defer timer.Stop()
+	select {
+	case <-r.started:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return r.view.Load()
 }
 
+// startPatience is below the second after which a client gives up a request that has not been read.
+const startPatience = 800 * time.Millisecond
+
 // Ready reports whether new clients are welcome.
 func (r *Router) Ready() bool {
 	current := r.view.Load()
-	return !r.stopping.Load() && current != nil && current.snapshot.Version.Instances != fleetwire.ListVersion{}
+	return !r.stopping.Load() && current != nil && current.hasList()
 }
 
 // Stop makes the router not ready; it serves on, and asks clients to leave their connections.
--- a/internal/router/routes.go
+++ b/internal/router/routes.go
@@ -8,6 +8,7 @@
 
 	"weldscale/coordination/watch"
 	"weldscale/internal/fleetwire"
+	"weldscale/internal/placement"
 	"weldscale/internal/route"
 )
 
@@ -129,7 +130,15 @@
 	if service.MaxConnections <= 0 {
 		return unboundedConnections
 	}
-	return max(1, service.MaxConnections/max(1, v.snapshot.Routers)-probeConnections)
+	return max(1, service.MaxConnections/v.routers()-probeConnections)
+}
+
+// routers is the number of routers that share the workers.
+func (v *view) routers() int {
+	if v.snapshot.Routers <= 0 {
+		return placement.AssumedRouters
+	}
+	return v.snapshot.Routers
 }
 
 // probeConnections are those that the probes of placement may hold to the same worker.
@@ -137,3 +146,6 @@
 
 // unboundedConnections stands for a service without a bound.
 const unboundedConnections = 256
+
+// hasList reports whether the workers are known.
+func (v *view) hasList() bool { return v.snapshot.Version.Instances != fleetwire.ListVersion{} }
--- a/internal/standin/client/client.go
+++ b/internal/standin/client/client.go
@@ -232,7 +232,8 @@
 	id := fmt.Sprintf("%s.%d", q.id, number)
 	target := q.Route.PathPrefix + q.id
 	q.crowd.Judge.Sent(judge.Request{ID: id, Services: q.services(), Idempotent: q.idempotent(), Resumable: q.Route.Resumable,
-		MaxAttempts: q.Route.MaxAttempts, Fingerprint: judge.Fingerprint(http.MethodPost, target, q.body), ResumeAfter: q.had, At: time.Now()})
+		MaxAttempts: q.Route.MaxAttempts, Fingerprint: judge.Fingerprint(http.MethodPost, target,
+			q.body), ResumeAfter: q.had, At: time.Now()})
 	transport := q.crowd.transport()
 	if number > 0 {
 		transport = &http.Transport{DisableCompression: true, DisableKeepAlives: true}
@@ -263,7 +264,8 @@
 }
 
 func (q *request) message(ctx context.Context, address, target, id string) *http.Request {
-	message := (&http.Request{Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address, Path: target}, Host: q.Route.Hostname,
+	message := (&http.Request{Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address, Path: target},
+		Host:   q.Route.Hostname,
 		Header: http.Header{}, Body: io.NopCloser(bytes.NewReader(q.body)), ContentLength: int64(len(q.body))}).WithContext(ctx)
 	message.Header.Set("Request-Id", id)
 	message.Header.Set("Deadline-Ms", strconv.FormatInt(q.left().Milliseconds(), 10))
--- a/internal/standin/engine/memory.go
+++ b/internal/standin/engine/memory.go
@@ -1,7 +1,5 @@
 package engine
 
-import "slices"
-
 // part is a part of some prompt in the memory. It can give way once nobody holds it.
 type part struct {
 	key    string
@@ -176,5 +174,5 @@
 
 // Kept reports whether the leading parts of a prompt are kept, for tests.
 func (e *Engine) Kept(model string, parts ...Part) bool {
-	return len(e.keptParts(Job{Model: model, Parts: parts})) == len(parts) && !slices.ContainsFunc(parts, func(p Part) bool { return p.ID == "" })
+	return len(e.keptParts(Job{Model: model, Parts: parts})) == len(parts)
 }
--- a/internal/standin/fleet/build.go
+++ b/internal/standin/fleet/build.go
@@ -8,7 +8,8 @@
 
 // Build builds the fleet's programs into a directory, for tests.
 func Build(directory string) error {
-	build := exec.Command("go", "build", "-o", directory+string(filepath.Separator), "weldscale/cmd/weldrouter", "weldscale/cmd/weldagent",
+	build := exec.Command("go", "build", "-o", directory+string(filepath.Separator), "weldscale/cmd/weldrouter",
+		"weldscale/cmd/weldagent",
 		"weldscale/cmd/weldcontroller")
 	if out, err := build.CombinedOutput(); err != nil {
 		return fmt.Errorf("build: %w\n%s", err, out)
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -94,8 +94,9 @@
 	if f.reserved, f.subnet, err = reserveSubnet(); err != nil {
 		return err
 	}
-	f.Platform, err = platform.Start(platform.Config{Address: fmt.Sprintf("%s.1:%d", f.subnet, portPlatform), RatePerS: f.options.ListRate,
-		Lag: f.options.ListLag, OnListed: f.Judge.Listed})
+	f.Platform, err = platform.Start(platform.Config{Address: fmt.Sprintf("%s.1:%d", f.subnet, portPlatform),
+		RatePerS: f.options.ListRate,
+		Lag:      f.options.ListLag, OnListed: f.Judge.Listed})
 	if err != nil {
 		return err
 	}
@@ -105,7 +106,8 @@
 	f.Operator = operator.New(f.controls)
 	var routers []platform.Router
 	for i, router := range f.Routers {
-		routers = append(routers, platform.Router{Zone: f.zone(i), Frontend: address(router.IP, portFrontend), Readiness: address(router.IP, portReadiness)})
+		routers = append(routers, platform.Router{Zone: f.zone(i), Frontend: address(router.IP, portFrontend),
+			Readiness: address(router.IP, portReadiness)})
 	}
 	f.Entry = platform.StartEntry(routers)
 	return nil
@@ -229,7 +231,8 @@
 			config.Stage = engine.StagePrefill
 		}
 		own := config
-		worker, err := f.AddWorker(llmworker.Config{Name: fmt.Sprintf("%s-%s-%d", service, config.Stage, i), Service: service, TellsLoad: true,
+		worker, err := f.AddWorker(llmworker.Config{Name: fmt.Sprintf("%s-%s-%d", service, config.Stage, i),
+			Service: service, TellsLoad: true,
 			Engine: &own}, i)
 		if err != nil {
 			return nil, err
--- a/internal/standin/llmworker/request.go
+++ b/internal/standin/llmworker/request.go
@@ -101,12 +101,14 @@
 
 // arrived tells the judge of a request at the door.
 func (w *Worker) arrived(in *incoming, taken bool) {
-	w.config.Judge.Arrived(judge.Arrival{ID: in.id, Service: w.config.Service, Worker: w.id, At: in.began, ReadsOnly: in.readsOnly, Taken: taken})
+	w.config.Judge.Arrived(judge.Arrival{ID: in.id, Service: w.config.Service, Worker: w.id, At: in.began,
+		ReadsOnly: in.readsOnly, Taken: taken})
 }
 
 // ran tells the judge of a run.
 func (w *Worker) ran(in *incoming, stamp string, after int) {
-	w.config.Judge.Ran(judge.Run{ID: in.id, Service: w.config.Service, Worker: w.id, Stamp: stamp, Fingerprint: in.fingerprint, After: after,
+	w.config.Judge.Ran(judge.Run{ID: in.id, Service: w.config.Service, Worker: w.id, Stamp: stamp,
+		Fingerprint: in.fingerprint, After: after,
 		At: time.Now()})
 }
 
--- a/internal/standin/llmworker/worker.go
+++ b/internal/standin/llmworker/worker.go
@@ -134,7 +134,8 @@
 
 // Instance is the worker as the platform lists it.
 func (w *Worker) Instance() platform.Instance {
-	out := platform.Instance{Service: w.config.Service, Address: w.address, Zone: w.config.Zone, Version: "v1", Slots: w.config.Slots,
+	out := platform.Instance{Service: w.config.Service, Address: w.address, Zone: w.config.Zone, Version: "v1",
+		Slots: w.config.Slots,
 		State: platform.StateReady, ID: w.id}
 	if w.draining.Load() {
 		out.State = platform.StateDraining
--- a/internal/standin/operator/operator.go
+++ b/internal/standin/operator/operator.go
@@ -120,7 +120,8 @@
 	}
 }
 
-func (o *Operator) exchange(ctx context.Context, method, url string, header http.Header, body []byte) (status int, location string, answer []byte, err error) {
+func (o *Operator) exchange(ctx context.Context, method, url string, header http.Header, body []byte) (status int,
+	location string, answer []byte, err error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, "", nil, err
