After a start the recorded reader reads the first list without waiting for grants

Change: the holder by the register's record may read while this controller holds no list and is in touch. It alone reads under its token, and what it publishes gives way to any later holder's list. Grants bound all further readings as before.

--- a/coordination/lease/decider.go
+++ b/coordination/lease/decider.go
@@ -173,6 +173,17 @@
 	return known.record.Token, true
 }
 
+// Recorded reports whether the register names this member as the holder of a role, and under which token, as far as it knows.
+// It does not allow to act: another may have been recorded since, and the grants of a former holder may still run. What is
+// done under the token alone must be of no harm beside the work of another holder.
+func (d *Decider) Recorded(key string) (uint64, bool) {
+	known, ok := d.roles[key]
+	if !ok || !d.recorded(known) {
+		return 0, false
+	}
+	return known.record.Token, true
+}
+
 // Release gives up all roles of this member for good; it takes none again. The next heartbeat tells the others.
 func (d *Decider) Release() {
 	d.leaving = true
@@ -214,8 +225,12 @@
 	known.heardAt = now
 }
 
+func (d *Decider) recorded(known *role) bool {
+	return known.record.Token != 0 && known.record.Holder == d.self && known.released != known.record.Token
+}
+
 func (d *Decider) holds(now time.Duration, known *role) bool {
-	if known.record.Token == 0 || known.record.Holder != d.self || known.released == known.record.Token {
+	if !d.recorded(known) {
 		return false
 	}
 	span := d.timing.Grant - d.timing.Margin
--- a/coordination/lease/decider_test.go
+++ b/coordination/lease/decider_test.go
@@ -164,6 +164,21 @@
 	require.Equal(t, uint64(2), set.record.Token)
 }
 
+func TestARecordedHolderMayBeWithoutGrants(t *testing.T) {
+	set := newTable(t, "a", "b", "c")
+	holder, others := set.settle()
+	set.now += timing.Grant
+	token, recorded := set.deciders[holder].Recorded(key)
+	require.True(t, recorded, "its grants have run out, its record stands")
+	require.Equal(t, uint64(1), token)
+	set.take(others[0])
+	_, recorded = set.deciders[holder].Recorded(key)
+	require.False(t, recorded)
+	set.deciders[others[0]].Release()
+	_, recorded = set.deciders[others[0]].Recorded(key)
+	require.False(t, recorded, "it was given up")
+}
+
 func TestAFrozenHolderSeesThatItsGrantsRanOut(t *testing.T) {
 	set := newTable(t, "a", "b", "c")
 	holder, _ := set.settle()
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -71,8 +71,7 @@
 	c.settledAt = c.leases.started.Add(settleTime)
 	c.lists = newLists(c.hub, log)
 	reader := instances.NewReader(func() string { return latest.Load().Cloud.Address })
-	mayRead := func() (uint64, bool) { return c.leases.holds(roleReader) }
-	c.poller = instances.NewPoller(reader, mayRead, c.listRead(ctx), log)
+	c.poller = instances.NewPoller(reader, c.mayRead, c.listRead(ctx), log)
 	return c
 }
 
@@ -91,6 +90,19 @@
 	return c.census.count(now)
 }
 
+// mayRead reports whether this controller may read the platform's list now, and under which token. Its holder by the record
+// need not wait for grants while there is no list here: it alone reads under that token, and a list under it gives way to
+// any of a later holder. After a loss of power of all, grants come only when those of the former lives have run out.
+func (c *controller) mayRead() (uint64, bool) {
+	if token, held := c.leases.holds(roleReader); held {
+		return token, held
+	}
+	if version, _ := c.lists.held(time.Now()); version != (fleetwire.ListVersion{}) || !inTouch(c.node) {
+		return 0, false
+	}
+	return c.leases.recorded(roleReader)
+}
+
 // settingsChanged takes a new settings file.
 func (c *controller) settingsChanged(next *settings.Settings) {
 	c.settings.Store(next)
--- a/internal/controller/leases.go
+++ b/internal/controller/leases.go
@@ -37,6 +37,11 @@
 	return token, held
 }
 
+func (l *leases) recorded(key string) (token uint64, is bool) {
+	l.with(func(decider *lease.Decider, _ time.Duration) { token, is = decider.Recorded(key) })
+	return token, is
+}
+
 func (l *leases) live() (live []string) {
 	l.with(func(decider *lease.Decider, now time.Duration) { live = decider.Live(now) })
 	return live
