Watch: changes of the list of instances go as steps

Each change of the list sent the whole of it to each agent and router: 15 KB for 950 workers, decoded and compared anew by each. A hub now keeps the last steps (changed and removed entries) and sends those that lead from what a watcher has; a relay passes them on undecoded and makes the whole list only when one is asked for.

--- a/coordination/watch/follower.go
+++ b/coordination/watch/follower.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"weldscale/internal/fleetwire"
@@ -45,9 +46,11 @@
 	choice  *Choice
 	known   []string // controllers that sources told of
 	held    state
-	current atomic.Pointer[Snapshot]
-	heard   atomic.Pointer[time.Time] // the newest moment at which a majority was heard by a source
-	source  atomic.Pointer[string]
+	// needsWhole is set after steps that didn't fit, until a whole list is there.
+	needsWhole bool
+	current    atomic.Pointer[Snapshot]
+	heard      atomic.Pointer[time.Time] // the newest moment at which a majority was heard by a source
+	source     atomic.Pointer[string]
 }
 
 // NewFollower returns a follower that holds nothing.
@@ -101,7 +104,14 @@
 // Next returns the next poll. Without an address there is nobody to ask, and Next is to be called again after the delay.
 func (f *Follower) Next(now time.Time) (Ask, fleetwire.WatchRequest) {
 	ask := f.choice.Next(now, f.known, f.options.Sources())
-	request := fleetwire.WatchRequest{Have: f.held.snapshot.Version, WaitMs: ask.Wait.Milliseconds(), Member: f.options.Self}
+	request := fleetwire.WatchRequest{Have: f.held.snapshot.Version, WaitMs: ask.Wait.Milliseconds(), Member: f.options.Self,
+		Steps: true}
+	if f.options.Relay != nil && f.options.Relay.listBroken.Load() {
+		f.needsWhole = true
+	}
+	if f.needsWhole {
+		request.Have.Instances = fleetwire.ListVersion{}
+	}
 	return ask, request
 }
 
@@ -197,24 +207,17 @@
 
 // merge adds the newer parts of an answer to a state.
 func (f *Follower) merge(next *state, reply *fleetwire.WatchReply, confirmed time.Time) error {
-	decode := f.options.OnChange != nil
 	if reply.Config != nil && reply.Now.ConfigRevision > next.snapshot.Version.ConfigRevision {
 		var config *fleetwire.Config
-		if decode {
+		if f.decodes() {
 			if err := unpack(reply.Config, &config); err != nil {
 				return err
 			}
 		}
 		next.setConfig(reply.Now.ConfigRevision, config, reply.Config)
 	}
-	if reply.Instances != nil && next.snapshot.Version.Instances.Less(reply.Now.Instances) {
-		var list []fleetwire.Instance
-		if decode {
-			if err := unpack(reply.Instances, &list); err != nil {
-				return err
-			}
-		}
-		next.setList(reply.Now.Instances, list, reply.Instances, confirmed)
+	if err := f.mergeList(next, reply, confirmed); err != nil {
+		return err
 	}
 	if reply.Now.Instances == next.snapshot.Version.Instances && confirmed.After(next.confirmed) {
 		next.confirmed = confirmed
@@ -222,6 +225,70 @@
 	return nil
 }
 
+// mergeList takes a whole list, or steps from the list that is held. After steps that don't fit the whole list is asked for.
+func (f *Follower) mergeList(next *state, reply *fleetwire.WatchReply, confirmed time.Time) error {
+	held, now := next.snapshot.Version.Instances, reply.Now.Instances
+	switch {
+	case reply.Instances != nil && (held.Less(now) || f.needsWhole && held == now):
+		list, err := f.wholeList(now, reply.Instances)
+		if err != nil {
+			return err
+		}
+		next.setList(list, confirmed)
+		f.needsWhole = false
+	case len(reply.Steps) > 0 && held.Less(now):
+		list, err := f.steppedList(next.list(), reply.Steps)
+		if err != nil || list.packed.version != now {
+			f.needsWhole = true
+			f.options.Log.Warn("steps of the list", zap.Error(err))
+			return nil
+		}
+		next.setList(list, confirmed)
+	}
+	return nil
+}
+
+// wholeList returns a list that came whole.
+func (f *Follower) wholeList(version fleetwire.ListVersion, packed fleetwire.Packed) (heldList, error) {
+	list := heldList{packed: &packedList{version: version}}
+	if f.options.Relay != nil {
+		list.packed = newPackedList(version, packed)
+	}
+	if !f.decodes() {
+		return list, nil
+	}
+	if err := unpack(packed, &list.decoded); err != nil {
+		return heldList{}, err
+	}
+	list.digest = digestOf(list.decoded)
+	return list, nil
+}
+
+// steppedList returns the list that steps lead to from the one held.
+func (f *Follower) steppedList(held heldList, steps []fleetwire.ListStep) (heldList, error) {
+	next := held
+	if next.packed == nil {
+		return heldList{}, eris.Wrap(errList, "no list is held")
+	}
+	var err error
+	for _, step := range steps {
+		if f.options.Relay != nil {
+			next.packed, err = next.packed.with(step)
+		} else {
+			next.packed, err = next.packed.past(step)
+		}
+		if err != nil {
+			return heldList{}, err
+		}
+	}
+	if f.decodes() {
+		next.decoded, next.digest, err = applySteps(next.decoded, next.digest, steps)
+	}
+	return next, err
+}
+
+func (f *Follower) decodes() bool { return f.options.OnChange != nil }
+
 func (f *Follower) setMembers(next *state, reply *fleetwire.WatchReply) {
 	if reply.Routers > 0 { // one that was just started can't tell, and what is held is better than nothing
 		next.snapshot.Routers = reply.Routers
@@ -265,7 +332,10 @@
 	h.update(func(next *state) {
 		version := &from.snapshot.Version
 		next.setConfig(version.ConfigRevision, from.snapshot.Config, from.packedConfig)
-		next.setList(version.Instances, from.snapshot.Instances, from.packedList, from.confirmed)
+		if next.packedList != from.packedList {
+			next.setList(from.list(), from.confirmed)
+			h.listBroken.Store(false)
+		}
 		if version.Instances == next.snapshot.Version.Instances {
 			next.confirmed = from.confirmed
 		}
--- a/coordination/watch/hub.go
+++ b/coordination/watch/hub.go
@@ -41,15 +41,18 @@
 	closed  chan struct{}
 	closing sync.Once
 
-	mutex sync.Mutex // orders writers
-	state atomic.Pointer[state]
+	mutex      sync.Mutex  // orders writers
+	publishing sync.Mutex  // orders publishers of lists
+	listBroken atomic.Bool // the list that a follower gave can't be made whole
+	state      atomic.Pointer[state]
 }
 
 // state is what a hub holds at one moment; it is replaced whole.
 type state struct {
 	snapshot     Snapshot // its ages and At are set on reading
 	packedConfig fleetwire.Packed
-	packedList   fleetwire.Packed
+	packedList   *packedList   // nil without a list
+	digest       uint64        // of the list, where it is decoded
 	confirmed    time.Time     // when the platform confirmed the list; zero: never
 	changed      chan struct{} // closed once a newer version is there
 }
@@ -103,18 +106,40 @@
 
 // PublishInstances makes a list known that the platform gave just now. One that isn't newer than the current one is ignored.
 func (h *Hub) PublishInstances(version fleetwire.ListVersion, instances []fleetwire.Instance) error {
-	if !h.state.Load().snapshot.Version.Instances.Less(version) {
+	h.publishing.Lock()
+	defer h.publishing.Unlock()
+	current := h.state.Load()
+	if !current.snapshot.Version.Instances.Less(version) {
 		return nil
 	}
-	packed, err := pack(instances)
+	list, err := nextList(current, version, instances)
 	if err != nil {
 		return err
 	}
 	now := time.Now()
-	h.update(func(next *state) { next.setList(version, instances, packed, now) })
+	h.update(func(next *state) { next.setList(list, now) })
 	return nil
 }
 
+// nextList returns the list that follows the current one, as a step from it where that is possible and much smaller.
+func nextList(current *state, version fleetwire.ListVersion, instances []fleetwire.Instance) (heldList, error) {
+	if current.packedList != nil && ordered(current.snapshot.Instances) && ordered(instances) {
+		step, decoded, err := newStep(current, version, instances)
+		if err != nil {
+			return heldList{}, err
+		}
+		if float64(len(step.Body)) <= stepsShare*float64(len(current.packedList.base)) {
+			packed, err := current.packedList.with(step)
+			return heldList{packed: packed, decoded: decoded, digest: step.Digest}, err
+		}
+	}
+	whole, err := pack(instances)
+	if err != nil {
+		return heldList{}, err
+	}
+	return heldList{packed: newPackedList(version, whole), decoded: instances, digest: digestOf(instances)}, nil
+}
+
 // ConfirmInstances notes that the platform gave the current list again at the given moment. It wakes nobody.
 func (h *Hub) ConfirmInstances(at time.Time) {
 	h.update(func(next *state) {
@@ -166,13 +191,25 @@
 	s.packedConfig = packed
 }
 
-func (s *state) setList(version fleetwire.ListVersion, list []fleetwire.Instance, packed fleetwire.Packed, at time.Time) {
-	if !s.snapshot.Version.Instances.Less(version) {
+// heldList is a list of instances in its forms. A relay has only the packed one.
+type heldList struct {
+	packed  *packedList
+	decoded []fleetwire.Instance
+	digest  uint64 // of decoded
+}
+
+func (s *state) list() heldList {
+	return heldList{packed: s.packedList, decoded: s.snapshot.Instances, digest: s.digest}
+}
+
+// setList takes a list that isn't older than the one held.
+func (s *state) setList(list heldList, at time.Time) {
+	if list.packed == nil || list.packed.version.Less(s.snapshot.Version.Instances) {
 		return
 	}
-	s.snapshot.Version.Instances = version
-	s.snapshot.Instances = list
-	s.packedList = packed
+	s.snapshot.Version.Instances = list.packed.version
+	s.snapshot.Instances = list.decoded
+	s.packedList, s.digest = list.packed, list.digest
 	s.confirmed = at
 }
 
@@ -188,13 +225,13 @@
 		current := h.state.Load()
 		remaining := min(wait-time.Since(received), h.options.MaxQuorumAge-h.quorumAge())
 		if remaining <= 0 || newer(current.snapshot.Version, request.Have) {
-			return h.reply(current, request.Have, received), nil
+			return h.reply(current, &request, received)
 		}
 		if err := h.waitFor(ctx, current.changed, remaining); err != nil {
 			return fleetwire.WatchReply{}, err
 		}
 		if h.isClosed() {
-			return h.reply(current, request.Have, received), nil
+			return h.reply(current, &request, received)
 		}
 	}
 }
@@ -230,8 +267,8 @@
 	return min(h.options.QuorumAge(), unknownAge)
 }
 
-func (h *Hub) reply(current *state, have fleetwire.Version, received time.Time) fleetwire.WatchReply {
-	now := time.Now()
+func (h *Hub) reply(current *state, request *fleetwire.WatchRequest, received time.Time) (fleetwire.WatchReply, error) {
+	now, have := time.Now(), request.Have
 	reply := fleetwire.WatchReply{
 		Now:         current.snapshot.Version,
 		Controllers: current.snapshot.Controllers,
@@ -243,8 +280,20 @@
 	if current.snapshot.Version.ConfigRevision > have.ConfigRevision {
 		reply.Config = current.packedConfig
 	}
-	if have.Instances.Less(current.snapshot.Version.Instances) {
-		reply.Instances = current.packedList
+	if !have.Instances.Less(current.snapshot.Version.Instances) {
+		return reply, nil
+	}
+	if request.Steps {
+		reply.Steps = current.packedList.shortSince(have.Instances)
+	}
+	if len(reply.Steps) > 0 {
+		return reply, nil
+	}
+	whole, err := current.packedList.whole()
+	if err != nil {
+		h.listBroken.Store(true)
+		return fleetwire.WatchReply{}, err
 	}
-	return reply
+	reply.Instances = whole
+	return reply, nil
 }
--- /dev/null
+++ b/coordination/watch/step.go
@@ -0,0 +1,136 @@
+package watch
+
+import (
+	"hash/fnv"
+	"slices"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"weldscale/internal/fleetwire"
+)
+
+// ordered reports whether a list is in the order of its ids, each once. Only such lists have steps.
+func ordered(list []fleetwire.Instance) bool {
+	for i := 1; i < len(list); i++ {
+		if list[i-1].ID >= list[i].ID {
+			return false
+		}
+	}
+	return true
+}
+
+// deltaOf returns what leads from one ordered list to another.
+func deltaOf(from, to []fleetwire.Instance) fleetwire.ListDelta {
+	var delta fleetwire.ListDelta
+	for len(from) > 0 || len(to) > 0 {
+		switch {
+		case len(to) == 0 || len(from) > 0 && from[0].ID < to[0].ID:
+			delta.Removed = append(delta.Removed, from[0].ID)
+			from = from[1:]
+		case len(from) == 0 || to[0].ID < from[0].ID:
+			delta.Put = append(delta.Put, to[0])
+			to = to[1:]
+		default:
+			if !sameInstance(&from[0], &to[0]) {
+				delta.Put = append(delta.Put, to[0])
+			}
+			from, to = from[1:], to[1:]
+		}
+	}
+	return delta
+}
+
+// sameInstance reports whether two entries are the same in all fields.
+func sameInstance(a, b *fleetwire.Instance) bool {
+	return a.ID == b.ID && a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone && a.Version == b.Version &&
+		a.Slots == b.Slots && a.State == b.State && a.ColdRemainingMs == b.ColdRemainingMs && a.Stage == b.Stage &&
+		slices.Equal(a.Models, b.Models)
+}
+
+// applyDelta returns a new list and its digest. The entries that a delta removes must be there, and its new ones in order.
+func applyDelta(list []fleetwire.Instance, digest uint64, delta fleetwire.ListDelta) ([]fleetwire.Instance, uint64, error) {
+	next := make([]fleetwire.Instance, 0, max(0, len(list)+len(delta.Put)-len(delta.Removed)))
+	if !ordered(delta.Put) || !slices.IsSorted(delta.Removed) {
+		return nil, 0, eris.Wrap(errList, "a delta out of order")
+	}
+	put, removed := delta.Put, delta.Removed
+	for i := range list {
+		entry := &list[i]
+		for len(put) > 0 && put[0].ID < entry.ID {
+			next, digest = append(next, put[0]), digest+digestOfInstance(&put[0])
+			put = put[1:]
+		}
+		switch {
+		case len(removed) > 0 && removed[0] == entry.ID:
+			digest -= digestOfInstance(entry)
+			removed = removed[1:]
+		case len(put) > 0 && put[0].ID == entry.ID:
+			next, digest = append(next, put[0]), digest-digestOfInstance(entry)+digestOfInstance(&put[0])
+			put = put[1:]
+		default:
+			next = append(next, *entry)
+		}
+	}
+	for i := range put {
+		next, digest = append(next, put[i]), digest+digestOfInstance(&put[i])
+	}
+	if len(removed) > 0 {
+		return nil, 0, eris.Wrap(errList, "an entry to be removed is not there")
+	}
+	return next, digest, nil
+}
+
+// applySteps leads a list from step to step. The digest after each must be the one that the step tells.
+func applySteps(list []fleetwire.Instance, digest uint64, steps []fleetwire.ListStep) ([]fleetwire.Instance, uint64, error) {
+	for _, step := range steps {
+		var delta fleetwire.ListDelta
+		if err := unpack(step.Body, &delta); err != nil {
+			return nil, 0, err
+		}
+		var err error
+		if list, digest, err = applyDelta(list, digest, delta); err != nil {
+			return nil, 0, err
+		}
+		if digest != step.Digest {
+			return nil, 0, eris.Wrap(errList, "the digest differs")
+		}
+	}
+	return list, digest, nil
+}
+
+// digestOf returns the sum of the digests of all entries, so that a change of one entry changes it without the others.
+func digestOf(list []fleetwire.Instance) uint64 {
+	var sum uint64
+	for i := range list {
+		sum += digestOfInstance(&list[i])
+	}
+	return sum
+}
+
+func digestOfInstance(instance *fleetwire.Instance) uint64 {
+	sum := fnv.New64a()
+	encoder := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(encoder)
+	encoder.Reset(sum)
+	encoder.UseArrayEncodedStructs(true)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(instance); err != nil {
+		return 0 // it can't fail: the writer doesn't, and the type can be encoded
+	}
+	return sum.Sum64()
+}
+
+// newStep packs the step between two ordered lists, and returns the new list and its digest as watchers will hold them.
+func newStep(from *state, version fleetwire.ListVersion, list []fleetwire.Instance) (fleetwire.ListStep, []fleetwire.Instance, error) {
+	delta := deltaOf(from.snapshot.Instances, list)
+	next, digest, err := applyDelta(from.snapshot.Instances, from.digest, delta)
+	if err != nil {
+		return fleetwire.ListStep{}, nil, err
+	}
+	body, err := pack(&delta)
+	if err != nil {
+		return fleetwire.ListStep{}, nil, err
+	}
+	return fleetwire.ListStep{From: from.snapshot.Version.Instances, To: version, Digest: digest, Body: body}, next, nil
+}
--- a/internal/fleetwire/fleetwire.go
+++ b/internal/fleetwire/fleetwire.go
@@ -127,16 +127,31 @@
 	Have   Version
 	WaitMs int64
 	Member Member // the asking process
+	Steps  bool   // the list of instances may come as steps from the one that the watcher has
 }
 
 // Packed is a value that was encoded once for all watchers; package watch makes and reads it.
 type Packed []byte
 
+// ListStep leads from one list of instances to a newer one.
+type ListStep struct {
+	From, To ListVersion
+	Digest   uint64 // of the list at To, made by package watch
+	Body     Packed // of ListDelta
+}
+
+// ListDelta is what differs between two lists. Both parts are in the order of the ids.
+type ListDelta struct {
+	Put     []Instance // new or changed
+	Removed []string   // ids
+}
+
 // WatchReply carries only the parts that are newer than what the watcher holds; the others are nil.
 type WatchReply struct {
 	Now         Version
 	Config      Packed   // of Config
-	Instances   Packed   // of the whole list of Instance
+	Instances   Packed   // of the whole list of Instance; nil where there are Steps
+	Steps       []ListStep
 	Controllers []string // internal addresses of the known controllers, IP:PORT
 	Routers     int      // routers that the controllers know to be alive; 0: not known yet
 	// QuorumAgeMs tells how long ago the controller behind this answer last heard a majority of the replicas. A watcher
