Lease: a member that is no voter any more grants nothing

Change: only a member of the newest voters that it knows grants; the package says that members that know different voters are told apart by their tokens alone, which remains so for the span of a grant.

--- a/coordination/lease/decider.go
+++ b/coordination/lease/decider.go
@@ -109,7 +109,7 @@
 			continue
 		}
 		message.Asks = append(message.Asks, ask)
-		if d.voter.ask(now, ask) {
+		if d.grants(now, ask) {
 			known.grants[d.self.Address] = now
 		}
 		if d.holds(now, known) {
@@ -131,7 +131,7 @@
 		}
 	}
 	for _, ask := range message.Asks {
-		if d.voter.ask(now, ask) {
+		if d.grants(now, ask) {
 			reply.Granted = append(reply.Granted, ask)
 		}
 	}
@@ -214,6 +214,11 @@
 	return live
 }
 
+// grants answers an ask as a voter. Whoever has left the set of voters grants nothing: the asker may know an older set.
+func (d *Decider) grants(now time.Duration, ask Ask) bool {
+	return slices.Contains(d.voters, d.self.Address) && d.voter.ask(now, ask)
+}
+
 func (d *Decider) hear(now time.Duration, from Member, healthy bool) {
 	known := d.peers[from.Address]
 	if known == nil {
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -4,6 +4,10 @@
 // under one token at a time, so that a new holder begins to act only after the grants of the former one have run out or
 // have been given back. A process that was frozen or cut off sees by its own steady clock that its grants have run out.
 //
+// The voters may change. Members that know the same voters never hold a role at once; one that knows an older set may hold
+// its old token on for a while beside the holder that the newer set has. So whoever takes what a holder says or does compares
+// tokens, and drops what comes under a lower one than the highest seen.
+//
 // The package holds no clock, socket or disk. Times are readings of one steady clock of the process; durations of
 // different processes are compared, their readings never are.
 package lease
