Controllers pass changes of the list on as steps

It now sends the step from the list before, on a path of its own so that an older controller is sent the whole list, as is one that can't take the step.

--- a/coordination/watch/follower.go
+++ b/coordination/watch/follower.go
@@ -268,7 +268,7 @@
 func (f *Follower) steppedList(held heldList, steps []fleetwire.ListStep) (heldList, error) {
 	next := held
 	if next.packed == nil {
-		return heldList{}, eris.Wrap(errList, "no list is held")
+		return heldList{}, eris.Wrap(ErrSteps, "no list is held")
 	}
 	var err error
 	for _, step := range steps {
--- a/coordination/watch/hub.go
+++ b/coordination/watch/hub.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"weldscale/coordination/transport"
 	"weldscale/internal/fleetwire"
 )
@@ -121,6 +123,38 @@
 	return nil
 }
 
+// StepsSince returns the steps from a version of the list to the newest, or nothing if they aren't known or not worth sending.
+func (h *Hub) StepsSince(have fleetwire.ListVersion) []fleetwire.ListStep {
+	list := h.state.Load().packedList
+	if list == nil {
+		return nil
+	}
+	return list.shortSince(have)
+}
+
+// PublishSteps makes a newer list known by the steps that StepsSince of another hub gave. It returns the list, or ErrSteps if
+// they don't lead from the list that is held.
+func (h *Hub) PublishSteps(steps []fleetwire.ListStep) ([]fleetwire.Instance, error) {
+	h.publishing.Lock()
+	defer h.publishing.Unlock()
+	next := h.state.Load().list()
+	if next.packed == nil {
+		return nil, eris.Wrap(ErrSteps, "no list is held")
+	}
+	var err error
+	for _, step := range steps {
+		if next.packed, err = next.packed.with(step); err != nil {
+			return nil, err
+		}
+	}
+	if next.decoded, next.digest, err = applySteps(next.decoded, next.digest, steps); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	h.update(func(state *state) { state.setList(next, now) })
+	return next.decoded, nil
+}
+
 // nextList returns the list that follows the current one, as a step from it where that is possible and much smaller.
 func nextList(current *state, version fleetwire.ListVersion, instances []fleetwire.Instance) (heldList, error) {
 	if current.packedList != nil && ordered(current.snapshot.Instances) && ordered(instances) {
--- a/coordination/watch/list.go
+++ b/coordination/watch/list.go
@@ -17,8 +17,8 @@
 	stepsShare = 0.5
 )
 
-// errList means that steps don't lead from a list to the one that they name.
-var errList = eris.New("the steps don't fit the list")
+// ErrSteps means that steps don't lead from a list to the one that they name.
+var ErrSteps = eris.New("the steps don't fit the list")
 
 // packedList is a list of instances as it is passed on: a whole list, and the steps that lead from it to newer ones. It is
 // immutable. A relay needs no decoded list: it adds the steps that it was given and makes the whole list when one is asked for.
@@ -42,7 +42,7 @@
 // past returns the version after one more step and nothing else, for a watcher that passes no list on.
 func (l *packedList) past(step fleetwire.ListStep) (*packedList, error) {
 	if step.From != l.version || !step.From.Less(step.To) {
-		return nil, eris.Wrap(errList, "not the next step")
+		return nil, eris.Wrap(ErrSteps, "not the next step")
 	}
 	return &packedList{version: step.To}, nil
 }
--- a/coordination/watch/step.go
+++ b/coordination/watch/step.go
@@ -52,7 +52,7 @@
 func applyDelta(list []fleetwire.Instance, digest uint64, delta fleetwire.ListDelta) ([]fleetwire.Instance, uint64, error) {
 	next := make([]fleetwire.Instance, 0, max(0, len(list)+len(delta.Put)-len(delta.Removed)))
 	if !ordered(delta.Put) || !slices.IsSorted(delta.Removed) {
-		return nil, 0, eris.Wrap(errList, "a delta out of order")
+		return nil, 0, eris.Wrap(ErrSteps, "a delta out of order")
 	}
 	put, removed := delta.Put, delta.Removed
 	for i := range list {
@@ -76,7 +76,7 @@
 		next, digest = append(next, put[i]), digest+digestOfInstance(&put[i])
 	}
 	if len(removed) > 0 {
-		return nil, 0, eris.Wrap(errList, "an entry to be removed is not there")
+		return nil, 0, eris.Wrap(ErrSteps, "an entry to be removed is not there")
 	}
 	return next, digest, nil
 }
@@ -93,7 +93,7 @@
 			return nil, 0, err
 		}
 		if digest != step.Digest {
-			return nil, 0, eris.Wrap(errList, "the digest differs")
+			return nil, 0, eris.Wrap(ErrSteps, "the digest differs")
 		}
 	}
 	return list, digest, nil
--- a/coordination/watch/step_test.go
+++ b/coordination/watch/step_test.go
@@ -103,7 +103,7 @@
 		{Removed: []string{"absent"}},
 	} {
 		_, _, err := applyDelta([]fleetwire.Instance{{ID: "a"}, {ID: "b"}}, 0, delta)
-		require.ErrorIs(t, err, errList)
+		require.ErrorIs(t, err, ErrSteps)
 	}
 }
 
--- a/internal/controller/lists.go
+++ b/internal/controller/lists.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"weldscale/coordination/transport"
 	"weldscale/coordination/watch"
 	"weldscale/internal/fleetwire"
 	"weldscale/internal/instances"
@@ -20,7 +22,8 @@
 	mutex     sync.Mutex
 	version   fleetwire.ListVersion
 	list      []fleetwire.Instance
-	confirmed time.Time // when the platform last gave this list
+	confirmed time.Time             // when the platform last gave this list
+	before    fleetwire.ListVersion // held before the newest
 }
 
 func newLists(hub *watch.Hub, log *zap.Logger) *lists { return &lists{hub: hub, log: log} }
@@ -65,10 +68,42 @@
 	return l.version.Less(version)
 }
 
-func (l *lists) publish(version fleetwire.ListVersion, list []fleetwire.Instance, confirmed time.Time) {
+// offerSteps takes steps from another controller. It reports whether the list that they lead to, or a newer one, is now held.
+func (l *lists) offerSteps(now time.Time, message stepsMessage) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if len(message.Steps) == 0 {
+		return false
+	}
+	version := message.Steps[len(message.Steps)-1].To
+	if !l.version.Less(version) {
+		return true
+	}
+	list, err := l.hub.PublishSteps(message.Steps)
+	if err != nil {
+		return false
+	}
+	l.hold(version, list, now.Add(-milliseconds(message.AgeMs)))
+	l.hub.ConfirmInstances(l.confirmed)
+	return true
+}
+
+// steps returns what leads from the list held before the newest to that one, if that is worth sending.
+func (l *lists) steps(now time.Time) stepsMessage {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return stepsMessage{AgeMs: now.Sub(l.confirmed).Milliseconds(), Steps: l.hub.StepsSince(l.before)}
+}
+
+func (l *lists) hold(version fleetwire.ListVersion, list []fleetwire.Instance, confirmed time.Time) {
+	l.before = l.version
 	l.version = version
 	l.list = list
 	l.confirmed = confirmed
+}
+
+func (l *lists) publish(version fleetwire.ListVersion, list []fleetwire.Instance, confirmed time.Time) {
+	l.hold(version, list, confirmed)
 	if err := l.hub.PublishInstances(version, list); err != nil {
 		l.log.Error("the list of instances could not be published", zap.String("cause", err.Error()))
 	}
@@ -104,16 +139,30 @@
 // pushList sends the newest list to all other controllers at once. Those that it doesn't reach learn of it by the next
 // heartbeat and ask for it.
 func (c *controller) pushList(ctx context.Context) {
-	message := c.lists.message(time.Now())
-	for _, address := range c.roster.others(time.Now()) {
+	now := time.Now()
+	steps, whole := c.lists.steps(now), c.lists.message(now)
+	for _, address := range c.roster.others(now) {
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
-			_ = c.client.Call(ctx, address, fleetwire.PathInstances, message, &empty{})
+			if len(steps.Steps) > 0 && !c.wantsWhole(ctx, address, steps) {
+				return
+			}
+			_ = c.client.Call(ctx, address, fleetwire.PathInstances, whole, &empty{})
 		}()
 	}
 }
 
+// wantsWhole sends steps to another controller and reports whether that one has to be sent the whole list.
+func (c *controller) wantsWhole(ctx context.Context, address string, steps stepsMessage) bool {
+	var reply stepsReply
+	err := c.client.Call(ctx, address, pathSteps, steps, &reply)
+	if err != nil {
+		return errors.Is(err, transport.ErrStatus) // it doesn't know the call
+	}
+	return !reply.Held
+}
+
 // fetchList asks another controller for its list, one call at a time.
 func (c *controller) fetchList(ctx context.Context, address string) {
 	if !c.fetching.CompareAndSwap(false, true) {
@@ -135,6 +184,10 @@
 	return empty{}, nil
 }
 
+func (c *controller) serveSteps(_ context.Context, message stepsMessage) (stepsReply, error) {
+	return stepsReply{Held: c.lists.offerSteps(time.Now(), message)}, nil
+}
+
 func (c *controller) serveList(context.Context, empty) (listMessage, error) {
 	return c.lists.message(time.Now()), nil
 }
--- a/internal/controller/messages.go
+++ b/internal/controller/messages.go
@@ -9,6 +9,7 @@
 const (
 	pathHeartbeat = "/internal/heartbeat"
 	pathList      = "/internal/instances/read"
+	pathSteps     = "/internal/instances/steps"
 )
 
 // gossip is what every heartbeat and every reply to one tells besides the roles.
@@ -36,6 +37,17 @@
 	Instances []fleetwire.Instance
 }
 
+// stepsMessage carries what leads from one list of instances to a newer one.
+type stepsMessage struct {
+	AgeMs int64
+	Steps []fleetwire.ListStep // at least one
+}
+
+// stepsReply tells whether the list is now held. Otherwise it is to be sent whole.
+type stepsReply struct {
+	Held bool
+}
+
 // empty is a message without content.
 type empty struct{}
 
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -84,6 +84,7 @@
 	c.hub.Register(mux)
 	mux.Handle("POST "+pathHeartbeat, transport.Handle(c.serveHeartbeat))
 	mux.Handle("POST "+pathList, transport.Handle(c.serveList))
+	mux.Handle("POST "+pathSteps, transport.Handle(c.serveSteps))
 	mux.Handle("POST "+fleetwire.PathInstances, transport.Handle(c.serveInstances))
 	mux.Handle("POST "+fleetwire.PathStatus, transport.Handle(c.serveStatus))
 	return mux
