--- a/internal/hollow/pace.go
+++ b/internal/hollow/pace.go
@@ -6,25 +6,22 @@
 )
 
 // pace calls do in even steps, count times over a span, until ctx is done. A call that takes longer than a step delays the
-// next ones, and the steps that it misses are not made up.
+// next ones; those that would come after the span are left out.
 func pace(ctx context.Context, span time.Duration, count int, do func(i int) error) error {
 	if count <= 0 {
 		return wait(ctx, span)
 	}
-	ticker := time.NewTicker(span / time.Duration(count))
-	defer ticker.Stop()
-	end := time.NewTimer(span)
-	defer end.Stop()
+	start := time.Now()
+	step := span / time.Duration(count)
 	for i := range count {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-end.C:
+		if err := wait(ctx, time.Duration(i+1)*step-time.Since(start)); err != nil {
+			return err
+		}
+		if time.Since(start) > span {
 			return nil
-		case <-ticker.C:
-			if err := do(i); err != nil {
-				return err
-			}
+		}
+		if err := do(i); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -32,7 +29,7 @@
 
 // wait returns after a span, or with an error once ctx is done.
 func wait(ctx context.Context, span time.Duration) error {
-	timer := time.NewTimer(span)
+	timer := time.NewTimer(max(span, 0))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/hollow/phase.go
+++ b/internal/hollow/phase.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -80,16 +81,23 @@
 	return nil
 }
 
-// load makes the changes of a phase.
+// load makes the changes of a phase and notes how many there were.
 func (r *round) load(ctx context.Context, phase *Phase) error {
 	var working sync.WaitGroup
 	failures := make([]error, 3)
-	start := func(i, count int, do func(i int) error) {
-		working.Go(func() { failures[i] = pace(ctx, phase.Span, count, do) })
-	}
-	start(0, phase.Configs, func(int) error { return r.changeConfig(ctx) })
-	start(1, phase.Lists, func(int) error { r.changeList(); return nil })
-	start(2, phase.Restarts, r.restartMember)
+	start := func(i int, count *int, do func(i int) error) {
+		planned := *count
+		*count = 0
+		working.Go(func() {
+			failures[i] = pace(ctx, phase.Span, planned, func(at int) error {
+				*count++
+				return do(at)
+			})
+		})
+	}
+	start(0, &phase.Configs, func(int) error { return r.changeConfig(ctx) })
+	start(1, &phase.Lists, func(int) error { r.changeList(); return nil })
+	start(2, &phase.Restarts, r.restartMember)
 	working.Wait()
 	for _, err := range failures {
 		if err != nil {
@@ -112,10 +120,15 @@
 	harness     usage
 	read        int64 // by hollow agents from controllers
 	written     int64
+	calls       int // of the platform's list
+	limited     int
+	roles       int // taken so far
 }
 
 func (r *round) measure(ctx context.Context) (*measurement, error) {
 	out := &measurement{reader: r.reader(ctx), at: time.Now(), read: r.counted.read.Load(), written: r.counted.written.Load()}
+	out.calls, out.limited = r.fleet.Platform.Calls()
+	out.roles = r.rolesTaken()
 	var err error
 	if out.harness, err = readUsage(os.Getpid()); err != nil {
 		return nil, err
@@ -135,6 +148,15 @@
 	return out, nil
 }
 
+// rolesTaken counts the lines in which controllers told that they took a role.
+func (r *round) rolesTaken() int {
+	taken := 0
+	for _, controller := range r.fleet.Controllers {
+		taken += strings.Count(controller.Log(), "role taken")
+	}
+	return taken
+}
+
 // reader returns the index of the controller that reads the platform's list, or -1.
 func (r *round) reader(ctx context.Context) int {
 	const surveyTimeout = 2 * time.Second
@@ -166,6 +188,9 @@
 	p.Router = meanCost(costsOf(before.routers, after.routers, p.Span))
 	p.Member = costOf(before.harness, after.harness, p.Span).dividedBy(members)
 	p.Member.In = perSecond(float64(after.read-before.read), p.Span) / float64(members)
+	p.Calls = perSecond(float64(after.calls-before.calls), p.Span)
+	p.Limited = perSecond(float64(after.limited-before.limited), p.Span)
+	p.Roles = after.roles - before.roles
 	p.Member.Out = perSecond(float64(after.written-before.written), p.Span) / float64(members)
 }
 
--- a/internal/hollow/round.go
+++ b/internal/hollow/round.go
@@ -46,7 +46,9 @@
 	Agent      Cost // mean of the sample processes
 	Router     Cost
 	Member     Cost    // the harness divided by its members; bytes are those between agent and controller
-	Polls      float64 // a second, of one agent
+	Calls      float64 // of the platform's list, a second
+	Limited    float64 // of them refused as too many, a second
+	Roles      int     // roles that controllers took
 }
 
 // Cost is what one process used.
--- a/internal/hollow/table.go
+++ b/internal/hollow/table.go
@@ -98,6 +98,10 @@
 	{"all, with restarts: controller's processor", "% of a core",
 		func(r *Round) float64 { return 100 * r.phase(phaseAll).Controller.CPU }},
 	{"all, with restarts: controller out", "B/s", func(r *Round) float64 { return r.phase(phaseAll).Controller.Out }},
+	{"platform's list, idle: calls", "1/s", func(r *Round) float64 { return r.phase(phaseIdle).Calls }},
+	{"platform's list, changing: calls", "1/s", func(r *Round) float64 { return r.phase(phaseLists).Calls }},
+	{"platform's list, changing: refused as too many", "1/s", func(r *Round) float64 { return r.phase(phaseLists).Limited }},
+	{"roles that moved in all phases", "", func(r *Round) float64 { return float64(r.rolesMoved()) }},
 	{"harness, a member: processor, idle", "% of a core", func(r *Round) float64 { return 100 * r.phase(phaseIdle).Member.CPU }},
 	{"harness, a member: memory", "MB", func(r *Round) float64 { return megabytes(r.phase(phaseAll).Member.Memory) }},
 	{"start of all at once, to the first message: p50", "ms", func(r *Round) float64 { return milliseconds(r.Start.P50) }},
@@ -121,6 +125,14 @@
 	return Phase{}
 }
 
+func (r *Round) rolesMoved() int {
+	moved := 0
+	for _, phase := range r.Phases {
+		moved += phase.Roles
+	}
+	return moved
+}
+
 // perConfig returns what one configuration adds to a rate of the idle phase.
 func perConfig(rate func(Phase) float64) func(*Round) float64 {
 	return func(r *Round) float64 {
