Register's model runs on simulated disks; the store in memory is gone

The model had disks of its own kind beside those of coordination/sim. Its faults now lose, tear and keep each file on its own, and failures of a folder's sync.

--- a/coordination/register/model_test.go
+++ b/coordination/register/model_test.go
@@ -16,7 +16,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"weldscale/coordination/store"
+	"weldscale/coordination/sim"
 )
 
 // faultsOfReplicas are mistakes that the checks have to catch.
@@ -55,7 +55,8 @@
 	id      string
 	lives   int
 
-	promise, value store.Memory
+	machine *sim.Machine // for its disk
+	disk    Disk         // of the present life
 
 	up       bool
 	acceptor *Acceptor
@@ -86,6 +87,7 @@
 
 type world struct {
 	draw      func(n int) int
+	disks     *sim.World
 	founders  []Replica
 	hostility int // of a thousand steps, those that are faults
 	faults    faultsOfReplicas
@@ -108,9 +110,11 @@
 
 func newWorld(draw func(n int) int, faults faultsOfReplicas) *world {
 	w := &world{draw: draw, faults: faults, accepts: map[Ballot]map[string]bool{}, values: map[Ballot]Value{}}
+	w.disks = sim.New(uint64(draw(math.MaxInt)))
 	w.hostility = 1 + draw(mostHostile)
 	for at := range modelFounders + draw(modelMost-modelFounders+1) {
-		n := &modelNode{at: at, address: fmt.Sprintf("node%d", at)}
+		address := fmt.Sprintf("node%d", at)
+		n := &modelNode{at: at, address: address, machine: w.disks.AddMachine(address)}
 		n.id = w.newID()
 		if at < modelFounders {
 			n.id = FounderID(n.address)
@@ -131,28 +135,39 @@
 }
 
 func (w *world) start(n *modelNode) {
+	n.disk = NewDisk(n.files())
+	acceptor, err := n.disk.Load(n.address)
+	if acceptor == nil && err == nil {
+		acceptor, err = n.disk.Mark(n.id, n.address, w.firstSet(n))
+	}
+	if err != nil {
+		return // the disk is full or fails
+	}
 	n.up = true
 	n.lives++
 	w.proposers++
 	n.ballots = NewBallots(w.proposers)
 	n.chosen = Accepted{}
 	n.step, n.operation = nil, nil
-	var accepted Accepted
-	var promised Ballot
-	_, _ = loadRecord(&n.promise, &promised)
-	if found, _ := loadRecord(&n.value, &accepted); !found && n.id == FounderID(n.address) {
-		accepted = Genesis(w.founders)
+	n.acceptor = acceptor
+	if acceptor.Accepted().Ballot == genesisBallot {
+		n.chosen = acceptor.Accepted()
 	}
-	n.acceptor = NewAcceptor(Replica{ID: n.id, Address: n.address}, promised, accepted)
-	if accepted.Ballot == genesisBallot {
-		n.chosen = accepted
+}
+
+// firstSet is what an empty disk is marked with.
+func (w *world) firstSet(n *modelNode) []Replica {
+	if n.id != FounderID(n.address) {
+		return nil
 	}
+	return w.founders
 }
 
-func (n *modelNode) crash(tear bool) {
+func (n *modelNode) files() *sim.Files { return n.machine.Disk().Files() }
+
+func (n *modelNode) crash() {
 	n.up = false
-	n.promise.LosePower(tear)
-	n.value.LosePower(tear)
+	n.machine.LosePower()
 }
 
 func (n *modelNode) self() Replica { return Replica{ID: n.id, Address: n.address} }
@@ -172,10 +187,9 @@
 
 // wipe takes a disk away.
 func (w *world) wipe(n *modelNode) {
-	n.crash(false)
+	n.up = false
 	w.wipes++
-	n.promise.Wipe()
-	n.value.Wipe()
+	n.machine.Wipe()
 	if !w.faults.keepsIdentity {
 		n.id = w.newID()
 	}
@@ -240,7 +254,7 @@
 		}
 		n.step, n.stepFrom, n.stepLife = &step, e.from, e.life
 		if w.faults.answersBeforeSync {
-			n.promise.Unsynced, n.value.Unsynced = true, true
+			n.files().LosesSyncs = true
 			w.write(n)
 		}
 	}
@@ -255,8 +269,7 @@
 func (w *world) write(n *modelNode) {
 	step := *n.step
 	n.step = nil
-	disk := Disk{promise: &n.promise, value: &n.value}
-	if refusal := disk.Write(step.Write); refusal != Agreed {
+	if refusal := n.disk.Write(step.Write); refusal != Agreed {
 		w.reply(n, n.stepFrom, n.stepLife, n.acceptor.Abandon(step, refusal))
 		return
 	}
@@ -488,16 +501,16 @@
 	switch w.draw(6) {
 	case 0, 1:
 		w.abandon(n)
-		n.crash(w.draw(2) == 0)
+		n.crash()
 	case 2:
 		if w.mayWipe() {
 			w.abandon(n)
 			w.wipe(n)
 		}
 	case 3:
-		n.promise.Full, n.value.Full = !n.promise.Full, !n.value.Full
+		n.files().Full = !n.files().Full
 	case 4:
-		n.value.FailSync = !n.value.FailSync
+		n.files().Failing = !n.files().Failing
 	default:
 		w.abandon(n)
 	}
@@ -512,7 +525,7 @@
 	}
 	w.calm = true
 	for _, n := range w.nodes {
-		n.promise.Full, n.value.Full, n.value.FailSync = false, false, false
+		n.machine.Disk().Heal()
 	}
 	return w.check()
 }
