--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -18,6 +18,7 @@
 	"weldscale/internal/fleetwire"
 	"weldscale/internal/instances"
 	"weldscale/internal/settings"
+	"weldscale/internal/stages"
 )
 
 // settleTime is how long a controller that was started tells no number of routers. Routers share the connections to a worker
@@ -38,6 +39,7 @@
 	roster   *roster
 	census   *census
 	poller   *instances.Poller
+	keeper   *stages.Keeper
 
 	settledAt time.Time       // when the number of routers is known
 	ctx       context.Context // of the whole run, for work that no caller waits for
@@ -72,6 +74,15 @@
 	c.lists = newLists(c.hub, log)
 	reader := instances.NewReader(func() string { return latest.Load().Cloud.Address })
 	c.poller = instances.NewPoller(reader, c.mayRead, c.listRead(ctx), log)
+	c.keeper = stages.NewKeeper(stages.Options{
+		Holder: current.NodeName,
+		Lease:  func() (uint64, bool) { return c.leases.holds(roleStages) },
+		Fleet:  c.knownFleet,
+		Share:  func(string) float64 { return prefillShare },
+		Quiet:  current.Bounds.Lease() + current.Bounds.Thaw(),
+		Fresh:  current.Bootstrap,
+		Log:    log,
+	})
 	return c
 }
 
@@ -103,6 +114,16 @@
 	return c.leases.recorded(roleReader)
 }
 
+// prefillShare of the workers of an engine read prompts. Reading is what requests wait for, while a worker that makes tokens
+// loses little by a larger batch.
+const prefillShare = 0.7
+
+// knownFleet is what the watchers of this controller are told.
+func (c *controller) knownFleet() stages.Fleet {
+	current := c.hub.Current()
+	return stages.Fleet{Config: current.Config, Instances: current.Instances}
+}
+
 // settingsChanged takes a new settings file.
 func (c *controller) settingsChanged(next *settings.Settings) {
 	c.settings.Store(next)
--- a/internal/controller/leases.go
+++ b/internal/controller/leases.go
@@ -10,6 +10,12 @@
 // roleReader is the key of the role that reads the platform's list of instances.
 const roleReader = "instances/reader"
 
+// roleStages is the key of the role that orders workers to read prompts or to make tokens.
+const roleStages = "workers/stages"
+
+// roles are all keys.
+var roles = []string{roleReader, roleStages}
+
 // leases guards the lease decider and gives it the time.
 type leases struct {
 	started time.Time
@@ -19,7 +25,7 @@
 }
 
 func newLeases(self lease.Member, fresh bool) *leases {
-	decider := lease.New(self, []string{roleReader}, lease.DefaultTiming(), 0, fresh)
+	decider := lease.New(self, roles, lease.DefaultTiming(), 0, fresh)
 	return &leases{started: time.Now(), decider: decider}
 }
 
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -39,7 +39,7 @@
 func (c *controller) serve(ctx context.Context, stop func(), open listeners, parts ...func(context.Context)) error {
 	serving := c.startServers(open)
 	var working sync.WaitGroup
-	for _, part := range append(parts, c.followRegister, c.sync, c.beat, c.poller.Run) {
+	for _, part := range append(parts, c.followRegister, c.sync, c.beat, c.poller.Run, c.keeper.Run) {
 		working.Go(func() { part(c.ctx) })
 	}
 	c.log.Info("controller serves", zap.String("internal", c.self.Address), zap.String("life", c.self.Life))
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -37,8 +37,10 @@
 func (c *controller) heldRoles() []string {
 	var held []string
 	c.leases.with(func(decider *lease.Decider, now time.Duration) {
-		if _, ok := decider.Holds(now, roleReader); ok {
-			held = append(held, roleReader)
+		for _, key := range roles {
+			if _, ok := decider.Holds(now, key); ok {
+				held = append(held, key)
+			}
 		}
 	})
 	return held
--- a/internal/fleetwire/fleetwire.go
+++ b/internal/fleetwire/fleetwire.go
@@ -149,8 +149,8 @@
 // WatchReply carries only the parts that are newer than what the watcher holds; the others are nil.
 type WatchReply struct {
 	Now         Version
-	Config      Packed   // of Config
-	Instances   Packed   // of the whole list of Instance; nil where there are Steps
+	Config      Packed // of Config
+	Instances   Packed // of the whole list of Instance; nil where there are Steps
 	Steps       []ListStep
 	Controllers []string // internal addresses of the known controllers, IP:PORT
 	Routers     int      // routers that the controllers know to be alive; 0: not known yet
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -317,3 +317,38 @@
 		require.Less(t, time.Since(began), 130*time.Millisecond, "it was held back")
 	})
 }
+
+func TestAPushThatArrivesNowhereCostsNoBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		placer := newTestPlacer(&fakeProber{})
+		placer.Update(snapshot(1, workers("decode", 3)))
+		dead := ""
+		verdict := placer.Place(t.Context(), testJob("decode"), func(_ context.Context, w fleetwire.Instance, ready func() bool) Result {
+			ready()
+			if dead == "" || dead == w.ID {
+				dead = w.ID
+				return ResultConnectFailed
+			}
+			return ResultServed
+		})
+		require.Equal(t, DecisionServed, verdict.Decision)
+		require.Equal(t, 1, verdict.Runs)
+	})
+}
+
+func TestAWorkerWithAnOrderUnderWayTakesNothingNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober := &fakeProber{reports: map[string]Report{
+			"decode-0": {Stage: "decode", Busy: true}, "decode-1": {Stage: "prefill"}, "decode-2": {Stage: "decode", Running: 7}}}
+		placer := newTestPlacer(prober)
+		placer.Update(snapshot(1, workers("decode", 3)))
+		for range 20 {
+			verdict := placer.Place(t.Context(), testJob("decode"), func(_ context.Context, w fleetwire.Instance, ready func() bool) Result {
+				ready()
+				require.Equal(t, "decode-2", w.ID)
+				return ResultServed
+			})
+			require.Equal(t, DecisionServed, verdict.Decision)
+		}
+	})
+}
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -179,7 +179,11 @@
 				p.unspend(&job, pushes)
 				continue
 			}
-			pushes++
+			if result == ResultConnectFailed {
+				p.unspend(&job, pushes) // it arrived nowhere
+			} else {
+				pushes++
+			}
 			if result.mayHaveRun() {
 				runs++
 			}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -324,6 +324,9 @@
 	if err != nil {
 		return decide.Report{}
 	}
+	if report.Busy || report.Stage != "" && report.Stage != p.settings.stage {
+		return decide.Report{Has: decide.HasFreeSlots, FreeSlots: -1} // an order is under way: it takes nothing new
+	}
 	held := float64(report.Running + report.Queued)
 	switch p.settings.stage {
 	case fleetwire.StagePrefill:
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -58,9 +58,8 @@
 			BudgetWindow: current.Bounds.BudgetWindow(),
 			Log:          log,
 		}),
-		Direct: func(tokens int) bool { return tokens <= directTokens },
-		Pool:   upstream.New(upstream.Options{}),
-		Log:    log,
+		Pool: upstream.New(upstream.Options{}),
+		Log:  log,
 	})
 	return router.run(ctx, current, frontend, readiness)
 }
@@ -158,7 +157,3 @@
 		r.options.Pool.Close()
 	}
 }
-
-// directTokens bounds the prompts that decode workers read themselves, by the tokens that no other request shares. They read at
-// half the pace; what that costs for a short prompt is less than a second placement and a move of its memory.
-const directTokens = 3000
