Controller: one line a second about changes left without an answer

Writing costs processor time, and the lines hide the others. Change: such lines are at least a second apart and tell the number of changes since the last one.

--- a/internal/controller/operator.go
+++ b/internal/controller/operator.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,6 +33,9 @@
 	// call.
 	formingTimeout     = 5 * time.Second
 	formingCallTimeout = 700 * time.Millisecond
+	// complaintPause separates lines of the log about changes without an answer: an operator that reaches only a controller
+	// cut off from the others sends again many times a second.
+	complaintPause = time.Second
 )
 
 // operatorAPI serves the operator's calls.
@@ -39,6 +43,10 @@
 	node    stateRegister
 	started time.Time
 	log     *zap.Logger
+
+	complaining  sync.Mutex
+	unanswered   int       // changes since the last line about them
+	complainedAt time.Time // zero: never
 }
 
 func newOperatorAPI(node stateRegister, log *zap.Logger) *operatorAPI {
@@ -138,11 +146,24 @@
 	case errors.Is(err, errNotAbove):
 		refuse(w, http.StatusBadRequest, err.Error())
 	default:
-		a.log.Warn("a change is left without an answer", zap.String("cause", err.Error()))
+		a.complain(err)
 		refuse(w, http.StatusServiceUnavailable, "the outcome is not known here")
 	}
 }
 
+// complain notes a change that is left without an answer.
+func (a *operatorAPI) complain(err error) {
+	a.complaining.Lock()
+	defer a.complaining.Unlock()
+	a.unanswered++
+	if !a.complainedAt.IsZero() && time.Since(a.complainedAt) < complaintPause {
+		return
+	}
+	a.log.Warn("a change is left without an answer", zap.Int("changes", a.unanswered), zap.String("cause", err.Error()))
+	a.unanswered = 0
+	a.complainedAt = time.Now()
+}
+
 // read returns the newest configuration as it was sent.
 func (a *operatorAPI) read(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), readTimeout)
