--- a/internal/hollow/phase.go
+++ b/internal/hollow/phase.go
@@ -66,6 +66,7 @@
 }
 
 func (r *round) playPhase(ctx context.Context, phase *Phase) error {
+	r.awaitReader(ctx)
 	before, err := r.measure(ctx)
 	if err != nil {
 		return err
@@ -157,6 +158,17 @@
 	return taken
 }
 
+// readerRole is the role of the controller that reads the platform's list.
+const readerRole = "instances/reader"
+
+// awaitReader waits until some controller reads the list: on a machine that others keep busy the role may be on its way.
+func (r *round) awaitReader(ctx context.Context) {
+	const span = 20 * time.Second
+	if within(ctx, span, func() bool { return r.reader(ctx) >= 0 }) != nil {
+		r.say("no controller reads the list")
+	}
+}
+
 // reader returns the index of the controller that reads the platform's list, or -1.
 func (r *round) reader(ctx context.Context) int {
 	const surveyTimeout = 2 * time.Second
@@ -164,7 +176,7 @@
 	defer cancel()
 	internals := r.fleet.Internals()
 	for _, probe := range fleetclient.Survey(ctx, internals) {
-		if probe.Err == nil && len(probe.Status.Held) > 0 {
+		if probe.Err == nil && slices.Contains(probe.Status.Held, readerRole) {
 			return slices.Index(internals, probe.Address)
 		}
 	}
