Lease: a change of the voters no longer lets two members hold a role at once

Change: a voter grants only to members that know the same voters, nothing while its replica has accepted a change of them that it doesn't know to be chosen, and after a change renews grants but gives new ones only once those of the former voters have run out.

--- a/coordination/lease/decider.go
+++ b/coordination/lease/decider.go
@@ -10,6 +10,8 @@
 	self    Member
 	timing  Timing
 	voters  []string // addresses
+	group   uint64   // names the set of voters
+	inDoubt bool     // the set of voters may be another by now
 	voter   voter
 	roles   map[string]*role
 	peers   map[string]*peer // by address
@@ -71,7 +73,7 @@
 // Learn takes the newest state of the register: the addresses of its replicas, which are the voters, and the records. A
 // record older than the known one is passed over.
 func (d *Decider) Learn(now time.Duration, voters []string, records map[string]Record) {
-	d.voters = slices.Clone(voters)
+	d.setVoters(now, voters)
 	for key, record := range records {
 		d.voter.saw(key, record.Token)
 		if known, ok := d.roles[key]; ok && record.Token > known.record.Token {
@@ -80,6 +82,23 @@
 	}
 }
 
+func (d *Decider) setVoters(now time.Duration, voters []string) {
+	d.voters = slices.Clone(voters)
+	if len(voters) == 0 {
+		return
+	}
+	group := groupOf(voters)
+	if d.group != 0 && group != d.group {
+		d.voter.regroup(now)
+	}
+	d.group = group
+}
+
+// SetDoubt tells whether this member's replica has accepted a value with other replicas than the newest one that is known to
+// be chosen. While it has, this member grants nothing: the former voters may have no say any more. It has to be told before
+// each Heartbeat and Receive.
+func (d *Decider) SetDoubt(inDoubt bool) { d.inDoubt = inDoubt }
+
 // Synced tells that what was learned comes from a linearizable read of the register that began after the start of this
 // member. Before it, this member grants nothing: it has forgotten which tokens it was asked for.
 func (d *Decider) Synced() { d.voter.synced = true }
@@ -97,7 +116,7 @@
 // the register's replicas.
 func (d *Decider) Heartbeat(now time.Duration, healthy bool) Message {
 	d.healthy = healthy
-	message := Message{From: d.self, Healthy: healthy}
+	message := Message{From: d.self, Healthy: healthy, Group: d.group}
 	for _, known := range d.sorted() {
 		if known.record.Token == 0 || known.record.Holder != d.self {
 			continue
@@ -109,7 +128,7 @@
 			continue
 		}
 		message.Asks = append(message.Asks, ask)
-		if d.grants(now, ask) {
+		if d.grants(now, d.group, ask) {
 			known.grants[d.self.Address] = now
 		}
 		if d.holds(now, known) {
@@ -131,7 +150,7 @@
 		}
 	}
 	for _, ask := range message.Asks {
-		if d.grants(now, ask) {
+		if d.grants(now, message.Group, ask) {
 			reply.Granted = append(reply.Granted, ask)
 		}
 	}
@@ -214,9 +233,11 @@
 	return live
 }
 
-// grants answers an ask as a voter. Whoever has left the set of voters grants nothing: the asker may know an older set.
-func (d *Decider) grants(now time.Duration, ask Ask) bool {
-	return slices.Contains(d.voters, d.self.Address) && d.voter.ask(now, ask)
+// grants answers an ask as a voter. The asker counts this grant among those of the voters that it knows, so these must be the
+// same that this member knows, itself among them.
+func (d *Decider) grants(now time.Duration, group uint64, ask Ask) bool {
+	agreed := group == d.group && !d.inDoubt && slices.Contains(d.voters, d.self.Address)
+	return agreed && d.voter.ask(now, ask)
 }
 
 func (d *Decider) hear(now time.Duration, from Member, healthy bool) {
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -4,15 +4,20 @@
 // under one token at a time, so that a new holder begins to act only after the grants of the former one have run out or
 // have been given back. A process that was frozen or cut off sees by its own steady clock that its grants have run out.
 //
-// The voters may change. Members that know the same voters never hold a role at once; one that knows an older set may hold
-// its old token on for a while beside the holder that the newer set has. So whoever takes what a holder says or does compares
-// tokens, and drops what comes under a lower one than the highest seen.
+// The voters are the replicas of the register and may change. A voter grants only to members that know the same voters, and
+// nothing while its replica has accepted a change of them that it doesn't know to be chosen. Each change is accepted by a
+// majority of the former voters, so a holder that doesn't hear of it loses its majority; and since the new voters give new
+// grants only after those of the former ones have run out, its successor acts after it.
 //
 // The package holds no clock, socket or disk. Times are readings of one steady clock of the process; durations of
 // different processes are compared, their readings never are.
 package lease
 
-import "time"
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+)
 
 // Member is one life of a process: the address stays over a restart, the life does not.
 type Member struct {
@@ -35,7 +40,8 @@
 // Message is the heartbeat that every member sends to every other.
 type Message struct {
 	From    Member
-	Healthy bool // the sender hears a majority of the register's replicas
+	Healthy bool   // the sender hears a majority of the register's replicas
+	Group   uint64 // names the voters that the sender knows
 	// Asks are the roles that the register records for the sender: it asks the receiver for its grant.
 	Asks []Ask
 	// Holding are those of the asks for which the sender has the grants of a majority.
@@ -78,3 +84,13 @@
 		Silence: 700 * time.Millisecond,
 	}
 }
+
+// groupOf names a set of voters, whatever their order. It is not 0.
+func groupOf(voters []string) uint64 {
+	hash := fnv.New64a()
+	for _, address := range slices.Sorted(slices.Values(voters)) {
+		_, _ = hash.Write([]byte(address))
+		_, _ = hash.Write([]byte{0})
+	}
+	return max(1, hash.Sum64())
+}
--- a/coordination/lease/voter.go
+++ b/coordination/lease/voter.go
@@ -7,8 +7,10 @@
 type voter struct {
 	grant    time.Duration
 	mutedTil time.Duration
-	synced   bool
-	grants   map[string]grant
+	// settledAt is when the grants that former voters gave have run out. Before it, grants are only renewed.
+	settledAt time.Duration
+	synced    bool
+	grants    map[string]grant
 }
 
 type grant struct {
@@ -28,8 +30,10 @@
 		return false
 	}
 	current.highest = ask.Token
-	taken := current.token != ask.Token && now < current.until
-	granted := !taken && v.synced && now >= v.mutedTil
+	running := now < current.until
+	renewed := running && current.token == ask.Token
+	free := !running && now >= v.mutedTil && now >= v.settledAt
+	granted := v.synced && (renewed || free)
 	if granted {
 		current.token = ask.Token
 		current.until = now + v.grant
@@ -38,6 +42,9 @@
 	return granted
 }
 
+// regroup notes that there are other voters. A holder may have the grants of a majority of the former ones for a while.
+func (v *voter) regroup(now time.Duration) { v.settledAt = now + v.grant }
+
 // saw notes that a token is in the register: none below it is granted any more.
 func (v *voter) saw(key string, token uint64) {
 	current := v.grants[key]
--- a/coordination/lease/voters_test.go
+++ b/coordination/lease/voters_test.go
@@ -2,19 +2,71 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
-// A member that has left the set of voters would help a holder that knows the former set only, while the present voters have
-// another.
+// ask has the holder ask a voter for its grant.
+func (s *table) ask(holder, voter string) []Ask {
+	return s.deciders[voter].Receive(s.now, s.deciders[holder].Heartbeat(s.now, true)).Granted
+}
+
+func (s *table) learnVoters(address string, voters ...string) {
+	s.deciders[address].Learn(s.now, voters, map[string]Record{key: s.record})
+}
+
+func TestAVoterGrantsOnlyToThoseThatKnowTheSameVoters(t *testing.T) {
+	set := newTable(t, "a", "b", "c")
+	holder, others := set.settle()
+	voter := others[0]
+	require.Len(t, set.ask(holder, voter), 1)
+	set.learnVoters(voter, holder, voter, "d")
+	require.Empty(t, set.ask(holder, voter), "the asker knows the former voters")
+	set.learnVoters(holder, "d", voter, holder)
+	require.Len(t, set.ask(holder, voter), 1, "in any order")
+}
+
 func TestAMemberThatIsNoVoterGrantsNothing(t *testing.T) {
 	set := newTable(t, "a", "b", "c")
 	holder, others := set.settle()
-	leaver := others[0]
-	set.deciders[leaver].Learn(set.now, []string{holder, others[1], "d"}, nil)
-	reply := set.deciders[leaver].Receive(set.now, set.deciders[holder].Heartbeat(set.now, true))
-	require.Empty(t, reply.Granted)
-	reply = set.deciders[others[1]].Receive(set.now, set.deciders[holder].Heartbeat(set.now, true))
-	require.Len(t, reply.Granted, 1)
+	for _, address := range []string{holder, others[0]} {
+		set.learnVoters(address, holder, others[1], "d")
+	}
+	require.Empty(t, set.ask(holder, others[0]))
+}
+
+func TestAVoterInDoubtAboutTheVotersGrantsNothing(t *testing.T) {
+	set := newTable(t, "a", "b", "c")
+	holder, others := set.settle()
+	set.deciders[others[0]].SetDoubt(true)
+	require.Empty(t, set.ask(holder, others[0]))
+	set.deciders[others[0]].SetDoubt(false)
+	require.Len(t, set.ask(holder, others[0]), 1)
+	set.deciders[holder].SetDoubt(true)
+	set.now += timing.Grant
+	require.Empty(t, set.ask(others[0], holder))
+	set.deciders[holder].Heartbeat(set.now, true)
+	require.Empty(t, set.holders(), "nor to itself")
+}
+
+// The grants of the former voters may still run when the voters change: those of the new ones renew what runs, and give
+// nothing new before.
+func TestNewVotersWaitForTheGrantsOfTheFormerOnes(t *testing.T) {
+	set := newTable(t, "a", "b", "c")
+	holder, others := set.settle()
+	for _, address := range set.voters {
+		set.learnVoters(address, "a", "b", "c", "d")
+	}
+	require.Len(t, set.ask(holder, others[0]), 1, "the grant runs")
+	successor, voter := others[0], others[1]
+	set.record = Record{Holder: set.deciders[successor].self, Token: set.record.Token + 1}
+	for _, address := range set.voters {
+		set.learnVoters(address, "a", "b", "c", "e")
+	}
+	set.deciders[holder].Heartbeat(set.now, true)
+	set.now += timing.Grant - time.Millisecond
+	require.Empty(t, set.ask(successor, voter))
+	set.now += time.Millisecond
+	require.Len(t, set.ask(successor, voter), 1)
 }
--- a/coordination/register/node.go
+++ b/coordination/register/node.go
@@ -175,6 +175,16 @@
 	return known, n.chosen.Ballot
 }
 
+// SetInDoubt reports whether the own replica has accepted a value with other replicas than Latest has. The set may have changed
+// without this process knowing.
+func (n *Node) SetInDoubt() bool {
+	known, chosen := n.known()
+	if known.Ballot == chosen {
+		return false
+	}
+	return !slices.Equal(known.Value.Replicas, n.latest().Value.Replicas)
+}
+
 // Formed reports whether the set has reached its wanted size.
 func (n *Node) Formed() bool {
 	n.mu.Lock()
--- a/coordination/systemtest/checks_test.go
+++ b/coordination/systemtest/checks_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
-	"github.com/samber/lo"
 
 	"weldscale/coordination/lease"
 	"weldscale/coordination/register"
@@ -30,7 +29,7 @@
 
 	actors  map[uint64]lease.Member // by token
 	lists   map[fleetwire.ListVersion]string
-	highest map[string]uint64 // token that was held, by voters
+	highest uint64 // token that was held
 
 	history []record
 	acked   []string
@@ -54,7 +53,6 @@
 		newest:  genesis,
 		actors:  map[uint64]lease.Member{},
 		lists:   map[fleetwire.ListVersion]string{},
-		highest: map[string]uint64{},
 	}
 }
 
@@ -143,23 +141,16 @@
 	}
 }
 
-// holding is a process that may act now.
-type holding struct {
-	token  uint64
-	voters string // that it knows
-}
-
-// holders checks that of those that know the same voters, no two hold the role at one moment, and that tokens rise.
-func (c *checks) holders(now []holding) {
-	byVoters := lo.GroupBy(now, func(h holding) string { return h.voters })
-	for _, h := range now {
-		if len(byVoters[h.voters]) > 1 {
-			c.fail("holders at once: %v", now)
-		}
-		if h.token < c.highest[h.voters] {
-			c.fail("token %d holds after token %d", h.token, c.highest[h.voters])
+// holders checks that no two processes hold the role at one moment, and that tokens rise.
+func (c *checks) holders(tokens []uint64) {
+	if len(tokens) > 1 {
+		c.fail("%d holders at once, tokens %v", len(tokens), tokens)
+	}
+	for _, token := range tokens {
+		if token < c.highest {
+			c.fail("token %d holds after token %d", token, c.highest)
 		}
-		c.highest[h.voters] = h.token
+		c.highest = max(c.highest, token)
 	}
 }
 
--- a/coordination/systemtest/controller_test.go
+++ b/coordination/systemtest/controller_test.go
@@ -121,6 +121,7 @@
 	case register.Request:
 		c.node.serve(request, func(reply register.Reply) { answer(reply) })
 	case heartbeat:
+		c.decider.SetDoubt(c.node.setInDoubt())
 		reply := c.decider.Receive(c.process.Steady(), request.Lease)
 		c.hear(request.Revision, request.List)
 		answer(heartbeatReply{Lease: reply, Revision: c.node.chosen.Value.Revision, List: c.list})
@@ -208,6 +209,7 @@
 func (c *controller) beat() {
 	now := c.process.Steady()
 	inTouch := c.node.quorumAge() <= watch.DefaultMaxQuorumAge
+	c.decider.SetDoubt(c.node.setInDoubt())
 	message := heartbeat{Lease: c.decider.Heartbeat(now, inTouch), Revision: c.node.chosen.Value.Revision, List: c.list}
 	for _, address := range c.others() {
 		if c.beating[address] {
--- a/coordination/systemtest/node_test.go
+++ b/coordination/systemtest/node_test.go
@@ -165,6 +165,11 @@
 	return n.chosen
 }
 
+// setInDoubt reports whether the own replica has accepted a value with other replicas than the newest chosen one.
+func (n *node) setInDoubt() bool {
+	return !slices.Equal(n.known().Value.Replicas, n.chosen.Value.Replicas)
+}
+
 // learn takes a value that is chosen.
 func (n *node) learn(chosen register.Accepted) {
 	if !n.chosen.Ballot.Less(chosen.Ballot) {
--- a/coordination/systemtest/site_test.go
+++ b/coordination/systemtest/site_test.go
@@ -119,16 +119,16 @@
 
 // watchHolders looks for two holders of the role at one moment.
 func (s *site) watchHolders() {
-	var now []holding
+	var tokens []uint64
 	for _, seat := range s.cores() {
 		if process := seat.machine.Process(); process != nil && process.Running() {
 			if token, held := seat.controller.holds(); held {
-				now = append(now, holding{token: token, voters: fmt.Sprint(seat.controller.voters())})
+				tokens = append(tokens, token)
 			}
 		}
 	}
 	if s.clocksRun {
-		s.checks.holders(now)
+		s.checks.holders(tokens)
 	}
 	s.world.After(holderTick, s.watchHolders)
 }
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -53,6 +53,7 @@
 	var sentAt time.Duration
 	c.leases.with(func(decider *lease.Decider, now time.Duration) {
 		sentAt = now
+		decider.SetDoubt(c.node.SetInDoubt())
 		message.Lease = decider.Heartbeat(now, inTouch(c.node))
 	})
 	message.Gossip = c.gossip()
@@ -84,7 +85,10 @@
 
 func (c *controller) serveHeartbeat(_ context.Context, message heartbeat) (heartbeatReply, error) {
 	var reply heartbeatReply
-	c.leases.with(func(decider *lease.Decider, now time.Duration) { reply.Lease = decider.Receive(now, message.Lease) })
+	c.leases.with(func(decider *lease.Decider, now time.Duration) {
+		decider.SetDoubt(c.node.SetInDoubt())
+		reply.Lease = decider.Receive(now, message.Lease)
+	})
 	c.hear(message.Lease.From.Address, message.Gossip)
 	if len(message.Lease.Released) > 0 {
 		c.hurry()
--- a/internal/controller/operator_test.go
+++ b/internal/controller/operator_test.go
@@ -93,6 +93,8 @@
 
 func (f *fakeRegister) QuorumAge() time.Duration { return f.quorumAge }
 
+func (f *fakeRegister) SetInDoubt() bool { return false }
+
 func (f *fakeRegister) WaitFormed(ctx context.Context) error {
 	if f.formed {
 		return nil
