--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -36,6 +36,7 @@
 	hub      *watch.Hub
 	leases   *leases
 	lists    *lists
+	hints    *hints
 	roster   *roster
 	census   *census
 	poller   *instances.Poller
@@ -64,6 +65,7 @@
 		node:     node,
 		operator: newOperatorAPI(node, log),
 		census:   newCensus(),
+		hints:    newHints(),
 		ctx:      ctx,
 		beatNow:  make(chan struct{}, 1),
 	}
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -116,6 +116,7 @@
 	if c.lists.told(now, told.List, told.ListAgeMs) {
 		c.fetchList(c.ctx, address)
 	}
+	c.handOver(now, address, told.List)
 	if told.Revision > c.node.Latest().Revision {
 		c.catchUp()
 	}
--- a/internal/controller/lists.go
+++ b/internal/controller/lists.go
@@ -136,31 +136,46 @@
 
 func milliseconds(count int64) time.Duration { return time.Duration(count) * time.Millisecond }
 
-// pushList sends the newest list to all other controllers at once. Those that it doesn't reach learn of it by the next
-// heartbeat and ask for it.
+// pushList sends the newest list to all other controllers at once. Those that it doesn't reach get it when they are heard again.
 func (c *controller) pushList(ctx context.Context) {
 	now := time.Now()
 	steps, whole := c.lists.steps(now), c.lists.message(now)
 	for _, address := range c.roster.others(now) {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			if len(steps.Steps) > 0 && !c.wantsWhole(ctx, address, steps) {
-				return
-			}
-			_ = c.client.Call(ctx, address, fleetwire.PathInstances, whole, &empty{})
-		}()
+		go c.sendList(ctx, address, steps, whole)
 	}
 }
 
-// wantsWhole sends steps to another controller and reports whether that one has to be sent the whole list.
-func (c *controller) wantsWhole(ctx context.Context, address string, steps stepsMessage) bool {
+// sendList sends steps, or the whole list where they don't do, and keeps a hint if it doesn't arrive.
+func (c *controller) sendList(ctx context.Context, address string, steps stepsMessage, whole listMessage) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	wantsWhole, err := true, error(nil)
+	if len(steps.Steps) > 0 {
+		wantsWhole, err = c.sendSteps(ctx, address, steps)
+	}
+	if err == nil && wantsWhole {
+		err = c.client.Call(ctx, address, fleetwire.PathInstances, whole, &empty{})
+	}
+	if err != nil {
+		c.hints.missed(address, whole.Version)
+	}
+}
+
+// sendSteps sends steps to another controller and reports whether that one has to be sent the whole list.
+func (c *controller) sendSteps(ctx context.Context, address string, steps stepsMessage) (bool, error) {
 	var reply stepsReply
 	err := c.client.Call(ctx, address, pathSteps, steps, &reply)
-	if err != nil {
-		return errors.Is(err, transport.ErrStatus) // it doesn't know the call
+	if errors.Is(err, transport.ErrStatus) {
+		return true, nil // it doesn't know the call
+	}
+	return !reply.Held, err
+}
+
+// handOver sends the newest list to a controller that is back and has missed one.
+func (c *controller) handOver(now time.Time, address string, holds fleetwire.ListVersion) {
+	if c.hints.take(address, holds) {
+		go c.sendList(c.ctx, address, stepsMessage{}, c.lists.message(now))
 	}
-	return !reply.Held
 }
 
 // fetchList asks another controller for its list, one call at a time.
