Routers share what they saw of workers; enough complaints keep work off one

Cause: with 68 routers before 90 workers each router meets a worker once in some seconds, so that each learns alone, by a failed request, that it fails some while its health answer is good. A client that gives up a silent stream told nothing at all, and a router that had used up its own connections to a worker held that against the worker and ejected it.

Change: a router tells with its polls what its latest try at a worker came to (package evidence), the agent passes it on, the controllers weigh the voices for each zone and service, and answers to polls name the workers in doubt. A client that leaves after an unusual silence counts against the worker; ErrExhausted does not.

--- a/coordination/watch/follower.go
+++ b/coordination/watch/follower.go
@@ -36,7 +36,9 @@
 	Jitter func() float64
 	// Hint may add to each request before it is sent; nil: nothing is added.
 	Hint func(*fleetwire.WatchRequest)
-	Log  *zap.Logger // nil: nothing is logged
+	// OnDoubts is called with the doubts of each answer, even if there are none, by the goroutine of Run; nil: nobody is told.
+	OnDoubts func([]fleetwire.Doubt)
+	Log      *zap.Logger // nil: nothing is logged
 }
 
 // Follower keeps a snapshot up to date by polling one of several sources. Run drives it; a simulation may do so instead, by
@@ -173,6 +175,9 @@
 		f.choice.Failed(now, ask)
 		return
 	}
+	if f.options.OnDoubts != nil {
+		f.options.OnDoubts(reply.Doubts)
+	}
 	age := fromMillis(reply.QuorumAgeMs) + transit(reply, sent, now)
 	behind := reply.Now.ConfigRevision < f.held.snapshot.Version.ConfigRevision
 	f.choice.Answered(now, ask, age, behind)
--- a/coordination/watch/hub.go
+++ b/coordination/watch/hub.go
@@ -35,6 +35,8 @@
 	MaxWait time.Duration
 	// Seen is told of each poll; nil: nobody is. It must not block.
 	Seen func(request *fleetwire.WatchRequest)
+	// Doubts returns what a watcher is told of workers that others complain of; nil: nothing. It must not block.
+	Doubts func(request *fleetwire.WatchRequest) []fleetwire.Doubt
 }
 
 // Hub holds the current state and answers long polls. It is safe for use by several goroutines.
@@ -311,6 +313,9 @@
 		ListAgeMs:   millis(ageAt(now, current.confirmed)),
 		HeldMs:      now.Sub(received).Milliseconds(),
 	}
+	if h.options.Doubts != nil {
+		reply.Doubts = h.options.Doubts(request)
+	}
 	if current.snapshot.Version.ConfigRevision > have.ConfigRevision {
 		reply.Config = current.packedConfig
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -38,6 +38,7 @@
 	log      *zap.Logger
 	client   *transport.Client
 	hub      *watch.Hub
+	hearsay  hearsay
 	follower *watch.Follower
 	polled   atomic.Pointer[time.Time] // when the router polled last
 }
@@ -64,14 +65,17 @@
 	agent.hub = watch.NewHub(watch.HubOptions{
 		QuorumAge:    func() time.Duration { return agent.follower.QuorumAge() },
 		MaxQuorumAge: watch.RelayMaxQuorumAge,
-		Seen:         func(*fleetwire.WatchRequest) { agent.sawPoll() },
+		Seen:         agent.sawPoll,
+		Doubts:       func(*fleetwire.WatchRequest) []fleetwire.Doubt { return agent.hearsay.doubts(time.Now()) },
 	})
 	agent.follower = watch.NewFollower(watch.FollowerOptions{
-		Self:    self(current),
-		Sources: func() []string { return agent.settings.Load().SeedInternalAddresses() },
-		Client:  agent.client,
-		Relay:   agent.hub,
-		Log:     log,
+		Self:     self(current),
+		Sources:  func() []string { return agent.settings.Load().SeedInternalAddresses() },
+		Client:   agent.client,
+		Relay:    agent.hub,
+		Hint:     func(request *fleetwire.WatchRequest) { request.Observations = agent.hearsay.take() },
+		OnDoubts: func(doubts []fleetwire.Doubt) { agent.hearsay.told(time.Now(), doubts) },
+		Log:      log,
 	})
 	return agent
 }
@@ -116,9 +120,10 @@
 	return mux
 }
 
-func (a *Agent) sawPoll() {
+func (a *Agent) sawPoll(request *fleetwire.WatchRequest) {
 	now := time.Now()
 	a.polled.Store(&now)
+	a.hearsay.seen(request.Observations)
 }
 
 // linger returns once the router has stopped polling, or the grace is nearly over.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -39,6 +39,7 @@
 	hints    *hints
 	roster   *roster
 	census   *census
+	voices   *voices
 	poller   *instances.Poller
 	keeper   *stages.Keeper
 
@@ -70,8 +71,11 @@
 		beatNow:  make(chan struct{}, 1),
 	}
 	c.roster = newRoster(c.self.Address, current.SeedInternalAddresses())
-	c.hub = watch.NewHub(watch.HubOptions{QuorumAge: node.QuorumAge, MaxQuorumAge: maxQuorumAge, Seen: c.sawWatcher})
+	c.hub = watch.NewHub(watch.HubOptions{
+		QuorumAge: node.QuorumAge, MaxQuorumAge: maxQuorumAge, Seen: c.sawWatcher, Doubts: c.doubts,
+	})
 	c.leases = newLeases(c.self, current.Bootstrap)
+	c.voices = newVoices(c.leases.started)
 	c.settledAt = c.leases.started.Add(settleTime)
 	c.lists = newLists(c.hub, log)
 	reader := instances.NewReader(func() string { return latest.Load().Cloud.Address })
@@ -93,6 +97,15 @@
 	if request.Member.Role == fleetwire.RoleAgent {
 		c.census.saw(time.Now(), request.Member.Name)
 	}
+	if len(request.Observations) > 0 {
+		c.voices.heard(request.Member, request.Observations, c.lists.services())
+	}
+}
+
+// doubts is what a watcher is told of workers that the routers of its zone complain of.
+func (c *controller) doubts(request *fleetwire.WatchRequest) []fleetwire.Doubt {
+	zones := max(1, len(c.settings.Load().Zones))
+	return c.voices.doubts(request.Member.Zone, c.lists.services, c.routers(time.Now())/zones)
 }
 
 // routers is the number of live routers, or 0 while it is not known.
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -105,6 +105,7 @@
 		List:      version,
 		ListAgeMs: age,
 		Routers:   c.census.seenHere(now),
+		Voices:    c.voices.passOn(),
 	}
 }
 
@@ -113,6 +114,9 @@
 	now := time.Now()
 	c.roster.heard(now, address)
 	c.census.told(now, told.Routers)
+	if len(told.Voices) > 0 {
+		c.voices.told(told.Voices, c.lists.services())
+	}
 	if c.lists.told(now, told.List, told.ListAgeMs) {
 		c.fetchList(c.ctx, address)
 	}
--- a/internal/controller/lists.go
+++ b/internal/controller/lists.go
@@ -124,6 +124,17 @@
 	return listMessage{Version: l.version, AgeMs: now.Sub(l.confirmed).Milliseconds(), Instances: l.list}
 }
 
+// services tells of which service each listed worker is.
+func (l *lists) services() map[string]string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	services := make(map[string]string, len(l.list))
+	for i := range l.list {
+		services[l.list[i].ID] = l.list[i].Service
+	}
+	return services
+}
+
 // held returns the version and age of the list; the age is 0 without a list.
 func (l *lists) held(now time.Time) (fleetwire.ListVersion, int64) {
 	l.mutex.Lock()
--- a/internal/controller/messages.go
+++ b/internal/controller/messages.go
@@ -18,6 +18,8 @@
 	List      fleetwire.ListVersion
 	ListAgeMs int64
 	Routers   []uint32 // hashes of the names of watchers seen lately
+	// Voices are what routers told this controller of workers lately.
+	Voices []voice
 }
 
 type heartbeat struct {
--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -206,6 +206,18 @@
 	return out
 }
 
+// Complained names the workers that some member's latest try speaks against, in order.
+func (b *Book) Complained(now time.Duration) (names []string) {
+	b.expire(now)
+	for worker := range b.heard {
+		if b.complained(worker) {
+			names = append(names, worker)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 func (b *Book) complained(worker string) bool {
 	for _, h := range b.heard[worker] {
 		if h.r.Kind != Fine {
--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -183,3 +183,19 @@
 		}
 	})
 }
+
+func TestComplainedNamesThoseSpokenAgainst(t *testing.T) {
+	b, err := NewBook(Usual(5), "a", "z", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Take(0, Report{From: "b", Zone: "z", Worker: "w2", Seq: 1, Kind: Failed})
+	b.Take(0, Report{From: "b", Zone: "z", Worker: "w1", Seq: 2, Kind: Late})
+	b.Take(0, Report{From: "b", Zone: "z", Worker: "w3", Seq: 3, Kind: Fine})
+	if names := b.Complained(time.Second); len(names) != 2 || names[0] != "w1" || names[1] != "w2" {
+		t.Fatal(names)
+	}
+	if names := b.Complained(time.Minute); names != nil {
+		t.Fatal("old complaints:", names)
+	}
+}
--- a/internal/fleetwire/fleetwire.go
+++ b/internal/fleetwire/fleetwire.go
@@ -128,6 +128,24 @@
 	WaitMs int64
 	Member Member // the asking process
 	Steps  bool   // the list of instances may come as steps from the one that the watcher has
+	// Observations are what the router beside the asking process saw last of some workers.
+	Observations []Observation
+}
+
+// Observation is what one router saw last of one worker. A later one of the same router replaces an earlier one.
+type Observation struct {
+	Worker   string // ID of the instance
+	Kind     int    // of package evidence
+	AgeMs    int64
+	Life     uint64 // of the router
+	Sequence uint64
+}
+
+// Doubt names a worker that some routers complain of.
+type Doubt struct {
+	Worker string // ID of the instance
+	// Avoid says that enough routers do. Without it, those that fare well there are asked to say so.
+	Avoid bool
 }
 
 // Packed is a value that was encoded once for all watchers; package watch makes and reads it.
@@ -159,6 +177,8 @@
 	QuorumAgeMs int64
 	// ListAgeMs tells how long ago the platform confirmed the list.
 	ListAgeMs int64
+	// Doubts are the workers that routers of the asking process's zone complain of.
+	Doubts []Doubt
 	// HeldMs tells how long the poll was held: the rest of the call's time the messages were on their way, and older by that.
 	HeldMs int64
 }
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -35,6 +35,7 @@
 
 	mayHaveRun bool             // a worker may have begun the work
 	timedOut   bool             // the last push ended by time
+	sentAt     time.Time        // when the last push was sent
 	used       []*upstream.Conn // connections that carried this request, whose late answers would look like its own
 }
 
@@ -84,7 +85,7 @@
 
 // place runs a request of a service without stages.
 func (q *request) place(ctx context.Context) placement.Verdict {
-	return q.router.options.Placer.Place(ctx, q.job(""), q.pushAnswer(nil))
+	return q.router.options.Placer.Place(ctx, q.job(""), q.observed(q.pushAnswer(nil)))
 }
 
 // pushAnswer makes the push whose answer is the client's. prepare may change the fields for a worker.
@@ -121,6 +122,9 @@
 ) (*answer, placement.Result) {
 	q.timedOut = false
 	conn, err := q.connect(ctx, target.Address)
+	if errors.Is(err, upstream.ErrExhausted) {
+		return nil, placement.ResultNotExecuted // says nothing of the worker
+	}
 	if err != nil {
 		return nil, q.unsent(ctx)
 	}
@@ -151,6 +155,7 @@
 		return nil, placement.ResultNotExecuted
 	}
 	q.used = append(q.used, conn)
+	q.sentAt = time.Now()
 	response, err := conn.RoundTrip(outgoing)
 	if err != nil {
 		conn.Discard()
@@ -219,6 +224,8 @@
 func (q *request) broken(ctx context.Context) placement.Result {
 	q.mayHaveRun = true
 	switch {
+	case q.clientGone() && !q.reply.started() && leftWaiting(q.aim(), time.Since(q.sentAt)):
+		return placement.ResultTimedOut
 	case q.clientGone():
 		return placement.ResultCancelled
 	case ctx.Err() != nil && errors.Is(ctx.Err(), context.DeadlineExceeded), time.Until(q.giveUpAt) <= 0:
@@ -229,6 +236,22 @@
 	}
 }
 
+// leftWaiting reports whether a client that left had waited for a worker for longer than is usual: it gives up a stream of
+// which nothing comes long before its deadline.
+func leftWaiting(aim, waited time.Duration) bool {
+	return waited >= max(leftWaitingLeast, leftWaitingAims*aim)
+}
+
+// A client gives up a stream after a silence of two seconds, or four times its aim if that is longer.
+const (
+	leftWaitingLeast = 1500 * time.Millisecond
+	leftWaitingAims  = 3
+)
+
+func (q *request) aim() time.Duration {
+	return time.Duration(q.route.TargetLatencyMs) * time.Millisecond
+}
+
 func (q *request) clientGone() bool { return q.incoming.Context().Err() != nil }
 
 // returnAnswer reads an answer that is no stream and gives it to the client.
--- a/internal/router/generation.go
+++ b/internal/router/generation.go
@@ -56,7 +56,7 @@
 	if q.handle != nil {
 		decode.PreferZone = q.handle.zone
 	}
-	verdict := q.router.options.Placer.Place(ctx, decode, q.pushAnswer(q.prepareDecode))
+	verdict := q.router.options.Placer.Place(ctx, decode, q.observed(q.pushAnswer(q.prepareDecode)))
 	q.freeHandle()
 	return verdict
 }
@@ -73,7 +73,7 @@
 func (q *request) prefill(ctx context.Context) placement.Verdict {
 	job := q.job(fleetwire.StagePrefill)
 	job.Repeatable = true
-	return q.router.options.Placer.Place(ctx, job, q.pushPrefill)
+	return q.router.options.Placer.Place(ctx, job, q.observed(q.pushPrefill))
 }
 
 // pushPrefill sends the prompt to one prefill worker and notes the handle of its memory.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -33,6 +33,8 @@
 	// Direct reports whether a generation skips the prefill worker and has its prompt, of which that many tokens are its own,
 	// read by the decode worker. Nil: never.
 	Direct func(ownTokens int) bool
+	// Distrust is told of workers that enough other routers complain of. Nil: nobody is.
+	Distrust func(workers []string)
 	// RetryAfter is what a refusal says when nothing better is known; 0: defaultRetryAfter.
 	RetryAfter time.Duration
 }
@@ -45,8 +47,10 @@
 	options  Options
 	view     atomic.Pointer[view]
 	stopping atomic.Bool
-	started  chan struct{} // closed once there are a configuration and a list
-	starting sync.Once
+
+	observations *observations
+	started      chan struct{} // closed once there are a configuration and a list
+	starting     sync.Once
 }
 
 // New returns a router that is not ready until Update gives it a first snapshot.
@@ -57,7 +61,7 @@
 	if options.RetryAfter == 0 {
 		options.RetryAfter = defaultRetryAfter
 	}
-	return &Router{options: options, started: make(chan struct{})}
+	return &Router{options: options, started: make(chan struct{}), observations: newObservations()}
 }
 
 // Update puts a newer snapshot into force. It is called by one goroutine.
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -49,17 +49,19 @@
 	for zone := range current.Zones {
 		zones = append(zones, zone)
 	}
+	placer := placement.New(placement.Options{
+		Zone:         current.Zone,
+		Zones:        zones,
+		BudgetRatio:  current.Bounds.RetryBudgetRatio,
+		BudgetSlack:  current.Bounds.BudgetSlack,
+		BudgetWindow: current.Bounds.BudgetWindow(),
+		Log:          log,
+	})
 	router := New(Options{
-		Placer: placement.New(placement.Options{
-			Zone:         current.Zone,
-			Zones:        zones,
-			BudgetRatio:  current.Bounds.RetryBudgetRatio,
-			BudgetSlack:  current.Bounds.BudgetSlack,
-			BudgetWindow: current.Bounds.BudgetWindow(),
-			Log:          log,
-		}),
-		Pool: upstream.New(upstream.Options{}),
-		Log:  log,
+		Placer:   placer,
+		Distrust: placer.Distrust,
+		Pool:     upstream.New(upstream.Options{}),
+		Log:      log,
 	})
 	return router.run(ctx, current, frontend, readiness)
 }
@@ -68,7 +70,7 @@
 func (r *Router) run(ctx context.Context, current *settings.Settings, frontend, readiness net.Listener) error {
 	following, stopFollowing := context.WithCancel(context.Background())
 	defer stopFollowing()
-	go Follow(following, current, r.Update, r.options.Log)
+	go r.follow(following, current)
 	idle := newIdleConns()
 	clients := &http.Server{Handler: r, MaxHeaderBytes: maxHeaderBytes, ConnState: idle.track}
 	probes := &http.Server{Handler: r.ReadinessHandler(), IdleTimeout: defaultIdleAllowed}
@@ -86,10 +88,26 @@
 	return nil
 }
 
+// follow keeps this router up to date, and tells what it saw of workers.
+func (r *Router) follow(ctx context.Context, current *settings.Settings) {
+	options := followerOptions(current, r.Update, r.options.Log)
+	options.Hint = r.observations.hint
+	options.OnDoubts = func(doubts []fleetwire.Doubt) {
+		if distrusted := r.observations.doubted(doubts); len(distrusted) > 0 && r.options.Distrust != nil {
+			r.options.Distrust(distrusted)
+		}
+	}
+	watch.NewFollower(options).Run(ctx)
+}
+
 // Follow calls onChange with each new snapshot of the agent of this machine until ctx is done.
 func Follow(ctx context.Context, current *settings.Settings, onChange func(*watch.Snapshot), log *zap.Logger) {
+	watch.NewFollower(followerOptions(current, onChange, log)).Run(ctx)
+}
+
+func followerOptions(current *settings.Settings, onChange func(*watch.Snapshot), log *zap.Logger) watch.FollowerOptions {
 	agent := []string{current.AgentAddress()}
-	follower := watch.NewFollower(watch.FollowerOptions{
+	return watch.FollowerOptions{
 		Self: fleetwire.Member{
 			Name:    current.NodeName,
 			Address: current.InternalAddress(),
@@ -102,8 +120,7 @@
 		OnChange:     onChange,
 		MaxQuorumAge: agentMaxQuorumAge,
 		Log:          log,
-	})
-	follower.Run(ctx)
+	}
 }
 
 // keepHouse closes what nobody uses.
