--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -131,7 +131,7 @@
 
 // prefillShare of the workers of an engine read prompts. Reading is what requests wait for, while a worker that makes tokens
 // loses little by a larger batch.
-const prefillShare = 0.7
+const prefillShare = 0.74
 
 // knownFleet is what the watchers of this controller are told.
 func (c *controller) knownFleet() stages.Fleet {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -352,3 +352,61 @@
 		}
 	})
 }
+
+func TestProbesThatFollowCloselyShareAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober := &fakeProber{reports: map[string]Report{"decode-0": {Running: 2}, "decode-1": {Running: 2}}}
+		placer := newTestPlacer(prober)
+		placer.Update(snapshot(1, workers("decode", 2)))
+		var targets []string
+		hold := make(chan struct{})
+		place := func() {
+			placer.Place(t.Context(), testJob("decode"), func(_ context.Context, w fleetwire.Instance, ready func() bool) Result {
+				ready()
+				targets = append(targets, w.ID)
+				<-hold
+				return ResultServed
+			})
+		}
+		for range 4 {
+			go place()
+			time.Sleep(2 * time.Millisecond)
+			synctest.Wait()
+		}
+		require.Len(t, prober.probed, 2, "one probe of each worker serves draws that follow within moments")
+		slices.Sort(targets)
+		require.Equal(t, []string{"decode-0", "decode-0", "decode-1", "decode-1"}, targets, "own pushes count beside the shared report")
+		time.Sleep(reportShare)
+		go place()
+		time.Sleep(2 * time.Millisecond)
+		synctest.Wait()
+		require.Len(t, prober.probed, 4, "an old answer serves nobody")
+		close(hold)
+		synctest.Wait()
+	})
+}
+
+func TestAHeldPrefixCountsMoreThanItsReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := workers("prefill", 8)
+		job := testJob("prefill")
+		job.PromptTokens = 6000
+		job.Parts = []Part{{"head", 512}, {"book", 4608}, {"own", 880}} // 5 units are held
+		keeper := home("book", list)
+		for _, running := range []int{1, 4} { // 4 units each: less and more than what 5 held ones count
+			prober := &fakeProber{reports: map[string]Report{keeper: {Running: running}}}
+			placer := newTestPlacer(prober)
+			grown := snapshot(1, list)
+			grown.Config.Services[0].Engine.Slots = 128
+			placer.Update(grown)
+			var target string
+			job.GiveUpAt = time.Now().Add(2 * time.Second)
+			placer.Place(t.Context(), job, func(_ context.Context, w fleetwire.Instance, ready func() bool) Result {
+				ready()
+				target = w.ID
+				return ResultServed
+			})
+			require.Equal(t, running == 1, target == keeper, "%d run at the holder", running)
+		}
+	})
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -12,6 +12,12 @@
 )
 
 const (
+	// heldPrefixWeight is what a held prefix counts in the choice of a prefill worker, in times of the reading that it saves: that
+	// reading also takes the place of others', and has a price of its own.
+	heldPrefixWeight = 2.5
+	// reportShare is how long the answer of a probe serves other draws of the same worker. Workers tell their load as it was
+	// some 100 ms ago; a probe that is sent within this time would mostly bring the same report.
+	reportShare       = 40 * time.Millisecond
 	maxPushes         = 8                     // of one stage of a request, those included that were refused unseen
 	guessedRun        = 4                     // a stage is taken to need the aim divided by this, until one was seen
 	widestShare       = 4                     // of a worker's slots, one prompt takes at most that part: it must fit beside others
@@ -51,6 +57,8 @@
 
 type worker struct {
 	instance fleetwire.Instance
+	report   Report
+	reportAt decide.Time
 	probing  []decide.Time // when each probe was asked for that waits for the answer under way
 }
 
@@ -207,7 +215,7 @@
 	prefix, tokens := sharedPrefix(job.Parts)
 	if holder := home(prefix, p.ready); holder != "" {
 		in.Holder = p.ids[holder]
-		in.Saved = cost * units(tokens)
+		in.Saved = cost * units(tokens) * heldPrefixWeight
 	}
 }
 
@@ -280,6 +288,12 @@
 		p.call(func(now decide.Time) { p.dispatch.ProbeResult(now, id, blindStatus(w), now-asked, decide.Report{}) })
 		return
 	}
+	if w.reportAt > 0 && asked-w.reportAt < reportShare.Microseconds() {
+		load := p.load(w.report, nil)
+		p.mu.Unlock()
+		p.call(func(now decide.Time) { p.dispatch.ProbeResult(now, id, decide.Served, max(1, now-asked), load) })
+		return
+	}
 	w.probing = append(w.probing, asked)
 	first := len(w.probing) == 1
 	instance := w.instance
@@ -311,6 +325,9 @@
 		if errors.Is(err, ErrNoReport) {
 			p.blind = true
 		}
+		if err == nil {
+			w.report, w.reportAt = report, now
+		}
 		probing := w.probing
 		w.probing = nil
 		for _, asked := range probing {
