--- a/coordination/systemtest/node_test.go
+++ b/coordination/systemtest/node_test.go
@@ -44,8 +44,7 @@
 	started time.Duration
 
 	acceptor *register.Acceptor // nil until the disk has an identity
-	marking  bool
-	waiting  []func() // requests that wait for the disk
+	waiting  []func()           // requests that wait for the disk
 	writing  bool
 	chosen   register.Accepted
 	peers    map[string]*peer
