--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -14,7 +14,7 @@
 const (
 	// heldPrefixWeight is what a held prefix counts in the choice of a prefill worker, in times of the reading that it saves: that
 	// reading also takes the place of others', and has a price of its own.
-	heldPrefixWeight = 2.5
+	heldPrefixWeight = 4.0
 	// reportShare is how long the answer of a probe serves other draws of the same worker. Workers tell their load as it was
 	// some 100 ms ago; a probe that is sent within this time would mostly bring the same report.
 	reportShare       = 40 * time.Millisecond
