--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -84,7 +84,6 @@
 		Holder: current.NodeName,
 		Lease:  func() (uint64, bool) { return c.leases.holds(roleStages) },
 		Fleet:  c.knownFleet,
-		Share:  func(string) float64 { return prefillShare },
 		Quiet:  current.Bounds.Lease() + current.Bounds.Thaw(),
 		Fresh:  current.Bootstrap,
 		Log:    log,
@@ -129,10 +128,6 @@
 	return c.leases.recorded(roleReader)
 }
 
-// prefillShare of the workers of an engine read prompts. Reading is what requests wait for, while a worker that makes tokens
-// loses little by a larger batch.
-const prefillShare = 0.74
-
 // knownFleet is what the watchers of this controller are told.
 func (c *controller) knownFleet() stages.Fleet {
 	current := c.hub.Current()
--- /dev/null
+++ b/internal/stages/balance_test.go
@@ -0,0 +1,73 @@
+package stages
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"weldscale/internal/fleetwire"
+	"weldscale/internal/placement"
+)
+
+func observe(b *Balance, load Load, times int) {
+	for range times {
+		b.Observe(load)
+	}
+}
+
+func TestBalanceGivesWorkersToTheBusyStage(t *testing.T) {
+	b := NewBalance()
+	observe(b, Load{DecodeFilled: 0.9}, 1)
+	require.InDelta(t, usualShare, b.Share(), 1e-9, "one look is not enough")
+	observe(b, Load{DecodeFilled: 0.9}, 40)
+	require.InDelta(t, leastShare, b.Share(), 1e-9)
+	observe(b, Load{DecodeFilled: 0.1}, 40)
+	require.InDelta(t, usualShare, b.Share(), shareStep)
+	observe(b, Load{DecodeFilled: 0.1, PrefillQueued: 3}, 40)
+	require.InDelta(t, mostShare, b.Share(), 1e-9)
+}
+
+func TestBalanceRestsBetweenItsBounds(t *testing.T) {
+	b := NewBalance()
+	observe(b, Load{DecodeFilled: (busyDecode + idleDecode) / 2, PrefillQueued: 5}, 40)
+	require.InDelta(t, usualShare, b.Share(), 1e-9)
+}
+
+func TestBalanceStaysWithinItsBoundsAndStepsSlowly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBalance()
+		for range rapid.IntRange(1, 200).Draw(t, "looks") {
+			before := b.Share()
+			b.Observe(Load{DecodeFilled: rapid.Float64Range(0, 2).Draw(t, "decode"), PrefillQueued: rapid.Float64Range(0, 9).Draw(t, "queued")})
+			if b.Share() < leastShare || b.Share() > mostShare {
+				t.Fatalf("share %v", b.Share())
+			}
+			if step := b.Share() - before; step > shareStep+1e-9 || step < -shareStep-1e-9 {
+				t.Fatalf("step %v", step)
+			}
+		}
+	})
+}
+
+// loadProber answers with a load by stage and counts.
+type loadProber struct{ asked chan string }
+
+func (p loadProber) Probe(_ context.Context, target fleetwire.Instance) (placement.Report, error) {
+	p.asked <- target.ID
+	if target.Stage == fleetwire.StagePrefill {
+		return placement.Report{Queued: 3}, nil
+	}
+	return placement.Report{Running: 24, Queued: 8}, nil
+}
+
+func TestSurveyAsksABoundedSample(t *testing.T) {
+	prober := loadProber{asked: make(chan string, 1000)}
+	load, enough := survey(t.Context(), prober, workers(300, 100), 64)
+	require.True(t, enough)
+	require.Equal(t, Load{PrefillQueued: 3, DecodeFilled: 0.5}, load)
+	require.Len(t, prober.asked, 2*surveySample)
+	_, enough = survey(t.Context(), prober, workers(3, 0), 64)
+	require.False(t, enough)
+}
--- a/internal/stages/keeper.go
+++ b/internal/stages/keeper.go
@@ -13,12 +13,15 @@
 	"go.uber.org/zap"
 
 	"weldscale/internal/fleetwire"
+	"weldscale/internal/placement"
 )
 
 const (
 	planInterval = 500 * time.Millisecond
 	orderTimeout = 700 * time.Millisecond
-	operation    = "Stage"
+	// surveyInterval separates the looks at the load: a change of stage takes seconds, and each look has a price.
+	surveyInterval = 3 * time.Second
+	operation      = "Stage"
 )
 
 // Lease tells whether this process may order workers now, and under which fencing token.
@@ -35,7 +38,7 @@
 	Holder string // the name in orders
 	Lease  Lease
 	Fleet  func() Fleet
-	Share  func(service string) float64 // of a service's workers that is to read prompts
+	Prober placement.Prober // nil: by HTTP
 	// Quiet is how long a new holder waits before its first order: what the former one has sent must have arrived long before.
 	Quiet time.Duration
 	// Fresh says that no one can have sent an order before: the whole system starts for the first time.
@@ -47,18 +50,21 @@
 type Keeper struct {
 	options   Options
 	transport *http.Transport
-	planners  map[string]*Planner
+	engines   map[string]*engine // by service
 	token     uint64
 	since     time.Time // when the token was first held
 }
 
 // NewKeeper returns a keeper.
 func NewKeeper(options Options) *Keeper {
+	if options.Prober == nil {
+		options.Prober = placement.NewHTTPProber()
+	}
 	dialer := &net.Dialer{Timeout: orderTimeout, KeepAlive: -1}
 	return &Keeper{
 		options:   options,
 		transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
-		planners:  map[string]*Planner{},
+		engines:   map[string]*engine{},
 	}
 }
 
@@ -88,7 +94,7 @@
 	}
 	if token != k.token {
 		k.token, k.since = token, now
-		k.planners = map[string]*Planner{}
+		k.engines = map[string]*engine{}
 	}
 	first := k.options.Fresh && token == 1
 	return first || now.Sub(k.since) >= k.options.Quiet
@@ -103,26 +109,50 @@
 		if service.Engine == nil {
 			continue
 		}
-		planner := k.planners[service.Name]
-		if planner == nil {
-			planner = NewPlanner()
-			k.planners[service.Name] = planner
-		}
+		state := k.engine(service.Name)
 		var workers []fleetwire.Instance
 		for _, instance := range fleet.Instances {
 			if instance.Service == service.Name {
 				workers = append(workers, instance)
 			}
 		}
-		for _, order := range planner.Plan(now, workers, k.options.Share(service.Name)) {
+		k.weigh(ctx, state, now, workers, service.Engine.Slots)
+		for _, order := range state.planner.Plan(now, workers, state.balance.Share()) {
 			if err := k.send(ctx, order); err != nil {
-				planner.Failed(order.Target.ID)
+				state.planner.Failed(order.Target.ID)
 				k.options.Log.Warn("order not taken", zap.String("instance", order.Target.ID), zap.String("cause", err.Error()))
 			}
 		}
 	}
 }
 
+// engine is what the holder knows of one service. A new holder begins anew.
+type engine struct {
+	planner  *Planner
+	balance  *Balance
+	surveyed time.Duration // when the workers were asked for their load last
+}
+
+func (k *Keeper) engine(service string) *engine {
+	known := k.engines[service]
+	if known == nil {
+		known = &engine{planner: NewPlanner(), balance: NewBalance()}
+		k.engines[service] = known
+	}
+	return known
+}
+
+// weigh asks for the load now and then.
+func (k *Keeper) weigh(ctx context.Context, state *engine, now time.Duration, workers []fleetwire.Instance, slots int) {
+	if now-state.surveyed < surveyInterval {
+		return
+	}
+	state.surveyed = now
+	if load, enough := survey(ctx, k.options.Prober, workers, slots); enough {
+		state.balance.Observe(load)
+	}
+}
+
 // errNotTaken is returned for an order that the worker refused.
 var errNotTaken = eris.New("the worker did not take the order")
 
--- a/internal/stages/keeper_test.go
+++ b/internal/stages/keeper_test.go
@@ -1,6 +1,7 @@
 package stages
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"weldscale/internal/fleetwire"
+	"weldscale/internal/placement"
 )
 
 // leaseRecord is a lease that a test gives and takes.
@@ -39,6 +41,13 @@
 	answer.WriteHeader(w.status)
 }
 
+// silentProber answers no probe: the share stays the usual one.
+type silentProber struct{}
+
+func (silentProber) Probe(context.Context, fleetwire.Instance) (placement.Report, error) {
+	return placement.Report{}, placement.ErrNoReport
+}
+
 func newTestKeeper(t *testing.T, held *leaseRecord, worker *orderedWorker, fresh bool) *Keeper {
 	server := httptest.NewServer(worker)
 	t.Cleanup(server.Close)
@@ -48,8 +57,8 @@
 	}
 	config := &fleetwire.Config{Services: []fleetwire.Service{{Name: "llm", Engine: &fleetwire.Engine{}}, {Name: "plain"}}}
 	return NewKeeper(Options{Holder: "core-1", Lease: held.lease, Fresh: fresh, Quiet: 3 * time.Second, Log: zap.NewNop(),
-		Fleet: func() Fleet { return Fleet{Config: config, Instances: list} },
-		Share: func(string) float64 { return 0.7 }})
+		Fleet:  func() Fleet { return Fleet{Config: config, Instances: list} },
+		Prober: silentProber{}})
 }
 
 func TestOrdersCarryHolderAndToken(t *testing.T) {
