A first reading that is rejected counts as an arrival in the retry budget

Change: a rejected first reading is charged, one that is taken up after it is given back. TestRejectedReadingsCountAsArrivals fails without (88 extras where 65 may be).

--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -45,6 +45,12 @@
 	return true
 }
 
+// Charge counts an extra arrival that has happened, whether there was room for it or not: later ones wait for it.
+func (b *Budget) Charge(now time.Duration) {
+	b.advance(now)
+	b.extras[b.slot%budgetSlots]++
+}
+
 // Refund takes back the extra arrival counted last, which did not happen.
 func (b *Budget) Refund() {
 	if at := b.slot % budgetSlots; b.extras[at] > 0 {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -410,3 +410,36 @@
 		}
 	})
 }
+
+func TestRejectedReadingsCountAsArrivals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		placer := newTestPlacer(&fakeProber{})
+		placer.Update(snapshot(1, append(workers("prefill", 8), workers("decode", 8)...)))
+		const requests = 200
+		arrivals, rejections := 0, 0
+		for range requests {
+			read := testJob("prefill")
+			read.MaxRuns = 4
+			placer.Place(t.Context(), read, func(_ context.Context, _ fleetwire.Instance, ready func() bool) Result {
+				ready()
+				if rand.IntN(3) == 0 { // a third of the readings are shed
+					rejections++
+					return ResultNotExecuted
+				}
+				return ResultServed
+			})
+			run := testJob("decode")
+			placer.Place(t.Context(), run, func(_ context.Context, _ fleetwire.Instance, ready func() bool) Result {
+				ready()
+				arrivals++
+				if rand.IntN(2) == 0 {
+					return ResultNotExecuted
+				}
+				return ResultServed
+			})
+		}
+		extras := rejections + arrivals - requests
+		// What is rejected first can't be held back, but then nothing else may come on top of it.
+		require.LessOrEqual(t, float64(extras), max(float64(rejections), 0.2*requests)+1)
+	})
+}
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -182,6 +182,7 @@
 			if result == ResultConnectFailed {
 				p.unspend(&job, pushes) // it arrived nowhere
 			} else {
+				p.settleReading(&job, pushes, runs, result)
 				pushes++
 			}
 			if result.mayHaveRun() {
@@ -227,6 +228,23 @@
 	return p.budget(job.Service).Spend(time.Since(p.start))
 }
 
+// settleReading corrects the budget after a reading of a prompt: the first one that a worker takes up is no extra arrival, the
+// rejected ones are.
+func (p *Placer) settleReading(job *Job, pushes, runs int, result Result) {
+	if job.Stage != fleetwire.StagePrefill {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	free := pushes == 0 && job.FreeFirst
+	switch {
+	case free && !result.mayHaveRun():
+		p.budget(job.Service).Charge(time.Since(p.start))
+	case !free && result.mayHaveRun() && runs == job.Runs:
+		p.budget(job.Service).Refund()
+	}
+}
+
 // unspend gives back what mayPush took from the budget for a push that was not sent.
 func (p *Placer) unspend(job *Job, pushes int) {
 	if pushes == 0 && job.FreeFirst {
