A decode worker near the prompt's memory joins the draw

Cause: moves of memory between zones have twice the price and time; with five decode workers in three zones most draws met far ones.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -443,3 +443,32 @@
 		require.LessOrEqual(t, float64(extras), max(float64(rejections), 0.2*requests)+1)
 	})
 }
+
+func TestADecodeWorkerNearTheMemoryWinsUnlessItIsMuchFuller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := workers("decode", 9)
+		for i := range list {
+			list[i].Zone = "z0"
+		}
+		list[8].Zone = "z1"
+		for _, running := range []int{3, 20} {
+			prober := &fakeProber{reports: map[string]Report{"decode-8": {Running: running}}}
+			placer := newTestPlacer(prober)
+			grown := snapshot(1, list)
+			grown.Config.Services[0].Engine.Slots = 128
+			placer.Update(grown)
+			for range 20 {
+				job := testJob("decode")
+				job.PreferZone = "z1"
+				target := ""
+				placer.Place(t.Context(), job, func(_ context.Context, w fleetwire.Instance, ready func() bool) Result {
+					ready()
+					target = w.ID
+					return ResultServed
+				})
+				require.Equal(t, running == 3, target == "decode-8", "%d run at the near one", running)
+				time.Sleep(time.Second)
+			}
+		}
+	})
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"weldscale/decide"
 	"weldscale/internal/fleetwire"
 )
@@ -15,6 +17,9 @@
 	// heldPrefixWeight is what a held prefix counts in the choice of a prefill worker, in times of the reading that it saves: that
 	// reading also takes the place of others', and has a price of its own.
 	heldPrefixWeight = 4.0
+	// nearShare is how much fuller than a far one a decode worker near the prompt's memory may be, in parts of its slots: the move
+	// is shorter there and has half the price.
+	nearShare = 1.0 / 16
 	// reportShare is how long the answer of a probe serves other draws of the same worker. Workers tell their load as it was
 	// some 100 ms ago; a probe that is sent within this time would mostly bring the same report.
 	reportShare       = 40 * time.Millisecond
@@ -201,6 +206,7 @@
 		p.weighReading(job, in, 1)
 		in.Memory = float64(job.PromptTokens)
 	case fleetwire.StageDecode:
+		p.preferNear(job, in)
 		if job.ReadsPrompt {
 			p.weighReading(job, in, decodeReadingCost)
 		}
@@ -208,6 +214,17 @@
 	}
 }
 
+// preferNear lets a worker of the zone in which the prompt's memory lies join the draw, with the advantage that a shorter move
+// is worth.
+func (p *pool) preferNear(job *Job, in *decide.Job) {
+	near := lo.Filter(p.ready, func(w fleetwire.Instance, _ int) bool { return w.Zone == job.PreferZone })
+	if len(near) == 0 {
+		return
+	}
+	in.Holder = p.ids[near[rand.IntN(len(near))].ID]
+	in.Saved = float64(p.slots) * nearShare
+}
+
 // weighReading sets what the reading of a prompt takes, and which worker holds its shared prefix.
 func (p *pool) weighReading(job *Job, in *decide.Job, cost float64) {
 	in.Slots = min(max(1, cost*units(job.PromptTokens)), float64(p.slots)/widestShare)
