A run after a reading that broke draws on the budget of repeats

Cause: the first push of a generation's reading was free, and the first push of its run as well. That holds for a reading that a worker took up, which counts as no arrival. Change: placement tells how many pushes arrived; after a reading that none took up, the run's first push takes from the budget. Each request counts once, at its run, whether that is free or not.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -76,6 +76,7 @@
 	Decision   Decision
 	RetryAfter time.Duration // with DecisionRefused
 	Runs       int           // workers that may have run it, Job.Runs included
+	Arrivals   int           // pushes of this call that arrived at a worker, taken up or not
 }
 
 // Push sends the job to the worker and returns once its part is over. It is called by Place, in Place's goroutine, one at
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -318,6 +318,20 @@
 	})
 }
 
+func TestArrivalsAreToldWhateverBecameOfThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		placer := newTestPlacer(&fakeProber{})
+		placer.Update(snapshot(1, workers("prefill", 3)))
+		for result, arrivals := range map[Result]int{ResultServed: 1, ResultBroken: 1, ResultFailed: 1} {
+			verdict := placer.Place(t.Context(), testJob("prefill"), func(_ context.Context, _ fleetwire.Instance, ready func() bool) Result {
+				ready()
+				return result
+			})
+			require.Equal(t, arrivals, verdict.Arrivals, "no budget for a second one")
+		}
+	})
+}
+
 func TestAPushThatArrivesNowhereCostsNoBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		placer := newTestPlacer(&fakeProber{})
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -155,15 +155,16 @@
 	defer target.forget(id)
 	runs := job.Runs
 	for pushes := 0; ; {
+		verdict := Verdict{Decision: DecisionFailed, Runs: runs, Arrivals: pushes}
 		select {
 		case <-ctx.Done():
 			target.call(func(now decide.Time) { target.dispatch.Hangup(now, id) })
-			return Verdict{Decision: DecisionFailed, Runs: runs}
+			return verdict
 		case refused := <-placed.ended:
 			if refused && runs == 0 {
 				return p.refused(&job, runs)
 			}
-			return Verdict{Decision: DecisionFailed, Runs: runs}
+			return verdict
 		case order := <-placed.pushes:
 			if !p.mayPush(&job, pushes, runs) {
 				target.outcome(id, order, decide.Moot)
@@ -171,7 +172,7 @@
 				if runs == 0 {
 					return p.refused(&job, runs)
 				}
-				return Verdict{Decision: DecisionFailed, Runs: runs}
+				return verdict
 			}
 			result, sent := target.send(ctx, placed, order, push)
 			if !sent {
@@ -190,7 +191,7 @@
 			}
 			target.outcome(id, order, statusOf[result])
 			if result == ResultServed {
-				return Verdict{Decision: DecisionServed, Runs: runs}
+				return Verdict{Decision: DecisionServed, Runs: runs, Arrivals: pushes}
 			}
 		}
 	}
@@ -198,7 +199,7 @@
 
 // countRequest notes a request in the budget of its service; the reading of a prompt is no request of its own.
 func (p *Placer) countRequest(job *Job) {
-	if job.Stage == fleetwire.StagePrefill || !job.FreeFirst {
+	if job.Stage == fleetwire.StagePrefill {
 		return
 	}
 	p.mu.Lock()
--- a/internal/router/generation.go
+++ b/internal/router/generation.go
@@ -52,6 +52,8 @@
 		}
 		// The first reading is no attempt of its own, further ones are. None of them is a run.
 		decode.MaxRuns = max(1, decode.MaxRuns-max(0, verdict.Runs-1))
+		// A reading that no worker took up is an arrival like any other, and was the request's first.
+		decode.FreeFirst = verdict.Decision == placement.DecisionServed || verdict.Arrivals == 0
 	}
 	if q.handle != nil {
 		decode.PreferZone = q.handle.zone
--- a/internal/router/generation_test.go
+++ b/internal/router/generation_test.go
@@ -113,6 +113,28 @@
 	require.Equal(t, "h-id", receive(t, freed))
 }
 
+func TestARunAfterAReadingThatBrokeIsNotTheFirstArrival(t *testing.T) {
+	for name, worker := range map[string]struct {
+		prefill http.HandlerFunc
+		free    bool
+	}{
+		"read":   {prefillWorker(make(chan string, 1)), true},
+		"broken": {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			seen := make(chan http.Header, 1)
+			f.worker(fleetwire.StagePrefill, worker.prefill)
+			f.worker(fleetwire.StageDecode, decodeWorker(seen))
+			f.send(f.generation("id"))
+			receive(t, seen)
+			require.Len(t, f.placer.jobs, 2)
+			require.True(t, f.placer.jobs[0].FreeFirst)
+			require.Equal(t, worker.free, f.placer.jobs[1].FreeFirst, "a reading that no worker took up counts as an arrival")
+		})
+	}
+}
+
 func TestAHandleIsFreedWhenNoWorkerTakesTheRequest(t *testing.T) {
 	f := newFixture(t)
 	freed, seen := make(chan string, 1), make(chan http.Header, 3)
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -42,7 +42,7 @@
 	if ready == nil {
 		ready = func() bool { return true }
 	}
-	runs := job.Runs
+	runs, arrivals := job.Runs, 0
 	for _, target := range targets {
 		if ctx.Err() != nil || runs >= max(1, job.MaxRuns) || runs > 0 && !job.Repeatable {
 			break
@@ -51,16 +51,19 @@
 		p.mutex.Lock()
 		p.results = append(p.results, result)
 		p.mutex.Unlock()
+		if result != placement.ResultConnectFailed {
+			arrivals++
+		}
 		switch result {
 		case placement.ResultServed:
-			return placement.Verdict{Decision: placement.DecisionServed, Runs: runs + 1}
+			return placement.Verdict{Decision: placement.DecisionServed, Runs: runs + 1, Arrivals: arrivals}
 		case placement.ResultNotExecuted, placement.ResultConnectFailed:
 		default:
 			runs++
 		}
 	}
 	if runs > 0 {
-		return placement.Verdict{Decision: placement.DecisionFailed, Runs: runs}
+		return placement.Verdict{Decision: placement.DecisionFailed, Runs: runs, Arrivals: arrivals}
 	}
 	return placement.Verdict{Decision: placement.DecisionRefused, RetryAfter: 250 * time.Millisecond}
 }
