--- a/internal/hollow/usage.go
+++ b/internal/hollow/usage.go
@@ -23,12 +23,6 @@
 	return usage{CPU: u.CPU - before.CPU, Read: u.Read - before.Read, Written: u.Written - before.Written, Resident: u.Resident}
 }
 
-// plus returns the sum of two processes.
-func (u usage) plus(other usage) usage {
-	return usage{CPU: u.CPU + other.CPU, Read: u.Read + other.Read, Written: u.Written + other.Written,
-		Resident: u.Resident + other.Resident}
-}
-
 // readUsage reads what a process has used. Processor time is summed over its threads in nanoseconds: the clock ticks of
 // /proc/PID/stat are too coarse for an agent.
 func readUsage(pid int) (usage, error) {
