TestTheListReaches… waits for the holder of the role, which may follow the first list

Since the recorded reader reads the first list without waiting for grants, so a list everywhere is no sign of a holder.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -248,6 +248,9 @@
 	return -1
 }
 
+// hasReader reports whether a controller holds the role that reads the list.
+func (f *fleet) hasReader() bool { return f.reader() >= 0 }
+
 func hasVersion(version int64) func(c *controller) bool {
 	return func(c *controller) bool {
 		config := c.hub.Current().Config
@@ -300,14 +303,15 @@
 	f := newFleet(t, 3)
 	f.platform.set(worker("i-1", fleetwire.InstanceReady))
 	f.eventually("the first list", f.everywhere(showsWorker("i-1", fleetwire.InstanceReady)))
+	f.eventually("a holder of the role", f.hasReader) // the first list is read by the recorded holder, without its grants
 	first := f.reader()
-	require.NotEqual(t, -1, first)
 
 	f.crash(first)
 	f.platform.set(worker("i-1", fleetwire.InstanceDraining))
 	took := f.eventually("the draining worker", f.everywhere(showsWorker("i-1", fleetwire.InstanceDraining)))
 	t.Logf("a list by another reader after a crash: %v", took)
 
+	f.eventually("another holder of the role", f.hasReader)
 	second := f.reader()
 	f.restart(first)
 	f.eventually("the list at the one that is back", f.everywhere(showsWorker("i-1", fleetwire.InstanceDraining)))
