Connections to workers rest shorter once one was found forgotten

Cause: a worker may forget a resting connection without a word; the next request on it is reset, and lost if it may run only once. Requests that may be repeated were sent on connections of any rest, so that with half of the workers forgetting, each reading of a prompt was likely to be reset and read again.

Change: a reset within 100 ms of the sending, on a connection that had rested, bounds the rest of all connections of the pool by a quarter of that rest for 15 s. New connections cost little.

--- a/internal/router/upstream/conn.go
+++ b/internal/router/upstream/conn.go
@@ -14,6 +14,7 @@
 	client    *http.ClientConn
 	raw       *watchedConn
 	idleSince time.Time
+	rested    time.Duration // before its present use; 0: it is new
 	keepFor   time.Duration
 	leaving   bool // the last answer said Connection: close
 }
@@ -21,8 +22,11 @@
 // RoundTrip sends the request and returns the head of the answer. It sends at most once.
 func (c *Conn) RoundTrip(request *http.Request) (*http.Response, error) {
 	c.raw.wrote.Store(false)
+	sent := time.Now()
 	response, err := c.client.RoundTrip(request)
 	if err != nil {
+		now := time.Now()
+		c.pool.memory.failed(now, c.rested, now.Sub(sent), err)
 		return nil, err
 	}
 	c.leaving = response.Close
--- a/internal/router/upstream/pool.go
+++ b/internal/router/upstream/pool.go
@@ -13,6 +13,7 @@
 type Pool struct {
 	options   Options
 	transport *http.Transport
+	memory    memory
 
 	mutex   sync.Mutex
 	workers map[string]*worker
@@ -59,12 +60,14 @@
 		p.workers[address] = entry
 	}
 	now := time.Now()
+	restedAtMost = min(restedAtMost, p.memory.restedAtMost(now))
 	for len(entry.idle) > 0 {
 		last := len(entry.idle) - 1
 		conn := entry.idle[last]
 		entry.idle[last] = nil
 		entry.idle = entry.idle[:last]
 		if conn.usable(now, restedAtMost) {
+			conn.rested = now.Sub(conn.idleSince)
 			return conn, nil
 		}
 		_ = conn.client.Close()
