--- a/coordination/store/contract_test.go
+++ b/coordination/store/contract_test.go
@@ -151,9 +151,7 @@
 
 func TestFullDiskIsToldFromAFailedOne(t *testing.T) {
 	full, err := os.OpenFile("/dev/full", os.O_WRONLY, 0)
-	if err != nil {
-		t.Skip("no /dev/full")
-	}
+	require.NoError(t, err, "Linux has it")
 	defer func() { _ = full.Close() }()
 	_, err = full.Write([]byte("x"))
 	require.ErrorIs(t, typed(err, "write"), ErrFull)
