--- a/internal/fleetclient/client_test.go
+++ b/internal/fleetclient/client_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -51,6 +52,13 @@
 	answer(w, r)
 }
 
+// received returns the calls so far. A client whose answer is cut returns while its call is still being served.
+func (c *control) received() []received {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return slices.Clone(c.calls)
+}
+
 func status(code int, body string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(code)
@@ -79,7 +87,7 @@
 func TestReplaceSendsTheConfigurationUnchanged(t *testing.T) {
 	controller := newControl(t, status(http.StatusOK, ""))
 	require.NoError(t, New([]string{controller.address}).Replace(t.Context(), 5, []byte("{ }\n")))
-	assert.Equal(t, []received{{http.MethodPost, "/config/replace", "5", "{ }\n"}}, controller.calls)
+	assert.Equal(t, []received{{http.MethodPost, "/config/replace", "5", "{ }\n"}}, controller.received())
 }
 
 func TestReplaceGoesOnToTheNextControllerUntilTheAnswerIsClear(t *testing.T) {
@@ -93,8 +101,8 @@
 			first, second := newControl(t, unclear), newControl(t, status(http.StatusOK, ""))
 			client := New([]string{unused(t), first.address, second.address})
 			require.NoError(t, client.Replace(t.Context(), 0, []byte("body")))
-			assert.Len(t, first.calls, 1)
-			assert.Equal(t, first.calls, second.calls, "the same call")
+			assert.Len(t, first.received(), 1)
+			assert.Equal(t, first.received(), second.received(), "the same call")
 		})
 	}
 }
@@ -107,7 +115,7 @@
 	assert.ErrorIs(t, err, ErrRefused)
 	assert.Contains(t, err.Error(), "status 400: TimeoutMs: 0")
 	assert.NotContains(t, err.Error(), "more")
-	assert.Len(t, invalid.calls, 1, "a refusal is final")
+	assert.Len(t, invalid.received(), 1, "a refusal is final")
 }
 
 func TestRedirectsAreFollowedTwice(t *testing.T) {
@@ -123,7 +131,7 @@
 	client := New([]string{loop.address, last.address})
 	_, err = client.Read(t.Context())
 	require.NoError(t, err, "the next controller is asked")
-	assert.Len(t, loop.calls, 3)
+	assert.Len(t, loop.received(), 3)
 }
 
 func TestReadOfAFleetWithoutConfiguration(t *testing.T) {
