Register: a value whose write failed is written again before a promise

Cause: a write that a disk reports as failed may be there all the same.

Change: the acceptor keeps such a value as in doubt and makes it durable before its next promise.

--- a/coordination/register/acceptor.go
+++ b/coordination/register/acceptor.go
@@ -1,7 +1,7 @@
 package register
 
-// Write is what an acceptor needs to have on its disk before it answers. One of its fields is set. Each is a record of its
-// own: a later promise does not write the value again.
+// Write is what an acceptor needs to have on its disk before it answers. At least one of its fields is set; a value is
+// written before a promise. Each is a record of its own: a later promise does not write the value again.
 type Write struct {
 	Promised *Ballot
 	Accepted *Accepted
@@ -15,12 +15,15 @@
 	request Request
 }
 
-// Acceptor holds the promises and the accepted value of one identity. It is pure, and it holds only what is durable.
+// Acceptor holds the promises and the accepted value of one identity. It is pure, and it answers only by what is durable.
+// A value whose write failed may come to light at the next start. It is written again before the next promise, so that no
+// proposer who was promised something misses it.
 type Acceptor struct {
 	self     Replica
 	promised Ballot
 	accepted Accepted
-	open     bool // a step with a write has begun
+	doubtful *Accepted // its write failed, and may have reached the disk all the same
+	open     bool      // a step with a write has begun
 }
 
 // NewAcceptor returns an acceptor with what was found on its disk. Without an accepted value it is that of a newcomer.
@@ -50,7 +53,7 @@
 		return Step{Reply: a.refuse(request, Busy)}
 	case request.Kind == Prepare && request.Ballot != a.promised:
 		a.open = true
-		return Step{Write: &Write{Promised: &request.Ballot}, request: request}
+		return Step{Write: &Write{Accepted: a.doubtful, Promised: &request.Ballot}, request: request}
 	case request.Kind == Accept && request.Ballot != a.accepted.Ballot:
 		a.open = true
 		accepted := &Accepted{Ballot: request.Ballot, Value: *request.Value}
@@ -65,7 +68,9 @@
 	if step.Write.Accepted != nil {
 		a.accepted = *step.Write.Accepted
 		a.promised = a.accepted.Ballot
-	} else {
+		a.doubtful = nil
+	}
+	if step.Write.Promised != nil {
 		a.promised = *step.Write.Promised
 	}
 	return a.answer(step.request)
@@ -74,6 +79,9 @@
 // Abandon takes a step whose write failed and returns its answer.
 func (a *Acceptor) Abandon(step Step, refusal Refusal) Reply {
 	a.open = false
+	if step.Write.Accepted != nil {
+		a.doubtful = step.Write.Accepted
+	}
 	return a.refuse(step.request, refusal)
 }
 
--- a/coordination/register/acceptor_test.go
+++ b/coordination/register/acceptor_test.go
@@ -78,6 +78,27 @@
 	finish(t, a, prepare(3))
 }
 
+func TestAcceptorWritesAValueInDoubtBeforeItPromises(t *testing.T) {
+	a := NewAcceptor(self, Ballot{}, Accepted{})
+	reply := a.Abandon(a.Begin(accept(5, "five")), DiskFailed)
+	require.Equal(t, Ballot{}, reply.Accepted, "it may not be on the disk")
+	step := a.Begin(prepare(6))
+	require.Equal(t, ballot(5), step.Write.Accepted.Ballot, "it may be on the disk")
+	require.Equal(t, ballot(6), *step.Write.Promised)
+	require.Equal(t, Ballot{}, a.Abandon(step, DiskFailed).Accepted)
+	reply = finish(t, a, prepare(7))
+	require.Equal(t, "five", string(reply.Value.Data))
+	require.Equal(t, ballot(7), reply.Promised)
+	require.Nil(t, a.Begin(prepare(8)).Write.Accepted, "it is in doubt no longer")
+}
+
+func TestAcceptorForgetsAValueInDoubtWithANewerOne(t *testing.T) {
+	a := NewAcceptor(self, Ballot{}, Accepted{})
+	a.Abandon(a.Begin(accept(5, "five")), DiskFailed)
+	finish(t, a, accept(6, "six"))
+	require.Nil(t, a.Begin(prepare(7)).Write.Accepted)
+}
+
 func TestAcceptorAnswersForItsIdentityOnly(t *testing.T) {
 	a := NewAcceptor(self, Ballot{}, Accepted{})
 	for _, request := range []Request{prepare(5), accept(5, "x"), {Kind: Query}} {
--- a/coordination/register/durable.go
+++ b/coordination/register/durable.go
@@ -80,12 +80,7 @@
 
 // Write makes a step's write durable.
 func (d Disk) Write(write *Write) Refusal {
-	var err error
-	if write.Accepted != nil {
-		err = saveRecord(d.value, write.Accepted)
-	} else {
-		err = saveRecord(d.promise, write.Promised)
-	}
+	err := d.save(write)
 	switch {
 	case err == nil:
 		return Agreed
@@ -95,6 +90,18 @@
 	return DiskFailed
 }
 
+func (d Disk) save(write *Write) error {
+	if write.Accepted != nil {
+		if err := saveRecord(d.value, write.Accepted); err != nil {
+			return err
+		}
+	}
+	if write.Promised != nil {
+		return saveRecord(d.promise, write.Promised)
+	}
+	return nil
+}
+
 func loadRecord(from store.Store, record any) (bool, error) {
 	data, err := from.Load()
 	if errors.Is(err, store.ErrNone) {
--- a/coordination/register/model_test.go
+++ b/coordination/register/model_test.go
@@ -33,8 +33,8 @@
 	retryOdds     = 4 // one in so many tries again at once
 	mostHostile   = 20
 	modelSteps    = 2500
-	calmSteps     = 10000
-	calmTurn      = 500
+	calmTurn      = 500 // steps
+	calmTurns     = 8   // of each node
 	maxInFlight   = 40
 	checkTimeout  = 20 * time.Second
 )
@@ -46,6 +46,7 @@
 	request *Request
 	from    int // node that a reply to the request goes to
 	reply   *Reply
+	asked   *operation // that sent the request
 }
 
 // modelNode is a process with a disk.
@@ -63,8 +64,7 @@
 	chosen   Accepted
 	ballots  *Ballots
 	step     *Step // waits for the disk
-	stepFrom int
-	stepLife int
+	stepOf   envelope
 
 	operation *operation
 }
@@ -150,8 +150,11 @@
 	n.chosen = Accepted{}
 	n.step, n.operation = nil, nil
 	n.acceptor = acceptor
-	if acceptor.Accepted().Ballot == genesisBallot {
-		n.chosen = acceptor.Accepted()
+	accepted := acceptor.Accepted()
+	if accepted.Ballot == genesisBallot {
+		n.chosen = accepted
+	} else if genesisBallot.Less(accepted.Ballot) {
+		w.noteAccept(n.id, accepted) // a write that was reported as failed may have reached the disk
 	}
 }
 
@@ -209,7 +212,7 @@
 func (w *world) send(n *modelNode, messages []Message) {
 	for _, message := range messages {
 		request := message.Request
-		w.fly(envelope{to: w.node(message.To.Address), from: n.at, life: n.lives, request: &request})
+		w.fly(envelope{to: w.node(message.To.Address), from: n.at, life: n.lives, request: &request, asked: n.operation})
 	}
 }
 
@@ -224,6 +227,7 @@
 	n := w.nodes[e.to]
 	switch {
 	case !n.up:
+	case e.reply != nil && e.reply.Kind == Query && e.asked != n.operation: // a read is given replies to its own questions only
 	case e.reply != nil && e.life == n.lives:
 		w.takeReply(n, *e.reply)
 	case e.request != nil:
@@ -249,10 +253,10 @@
 		}
 		step := n.acceptor.Begin(request)
 		if step.Write == nil {
-			w.reply(n, e.from, e.life, step.Reply)
+			w.reply(n, e, step.Reply)
 			return
 		}
-		n.step, n.stepFrom, n.stepLife = &step, e.from, e.life
+		n.step, n.stepOf = &step, e
 		if w.faults.answersBeforeSync {
 			n.files().LosesSyncs = true
 			w.write(n)
@@ -260,9 +264,9 @@
 	}
 }
 
-func (w *world) reply(n *modelNode, to, life int, reply Reply) {
+func (w *world) reply(n *modelNode, to envelope, reply Reply) {
 	reply.Chosen = n.chosen.Ballot
-	w.fly(envelope{to: to, life: life, reply: &reply})
+	w.fly(envelope{to: to.from, life: to.life, reply: &reply, asked: to.asked})
 }
 
 // write lets the disk of a node take the write that waits.
@@ -270,14 +274,14 @@
 	step := *n.step
 	n.step = nil
 	if refusal := n.disk.Write(step.Write); refusal != Agreed {
-		w.reply(n, n.stepFrom, n.stepLife, n.acceptor.Abandon(step, refusal))
+		w.reply(n, n.stepOf, n.acceptor.Abandon(step, refusal))
 		return
 	}
 	reply := n.acceptor.Finish(step)
 	if step.Write.Accepted != nil {
 		w.noteAccept(n.id, *step.Write.Accepted)
 	}
-	w.reply(n, n.stepFrom, n.stepLife, reply)
+	w.reply(n, n.stepOf, reply)
 }
 
 // noteAccept keeps what is chosen and checks that one value follows another.
@@ -532,7 +536,7 @@
 
 // recover plays a calm time and checks that all disks come back into the set.
 func (w *world) recover() error {
-	for step := range calmSteps {
+	for step := range calmTurn * calmTurns * len(w.nodes) {
 		w.turn = step / calmTurn % len(w.nodes)
 		if w.act(); w.broken != "" {
 			return eris.New(w.broken)
@@ -589,6 +593,20 @@
 	require.Greater(t, finished, plays)
 }
 
+// TestModelOnSeedsThatFailed plays seeds in which replicas come back with writes that their disks had reported as failed.
+func TestModelOnSeedsThatFailed(t *testing.T) {
+	for name, seed := range map[string]uint64{
+		"a majority holds a value only since such a start": 0x11b9,
+		"a promise was made while such a write was hidden": 0x4eaa1fdfa,
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(rand.New(rand.NewPCG(seed, 0)).IntN, faultsOfReplicas{})
+			require.NoError(t, w.run())
+			require.NoError(t, w.recover())
+		})
+	}
+}
+
 // caught reports after how many plays the checks find a mistake.
 func caught(faults faultsOfReplicas, first, most uint64) (uint64, error) {
 	for seed := first; seed < most; seed++ {
--- a/coordination/register/reader.go
+++ b/coordination/register/reader.go
@@ -1,7 +1,8 @@
 package register
 
 // Reader asks a majority which ballot it has accepted. If it is the same one, its value is chosen, and no write is needed.
-// It is pure.
+// It is pure. Its driver hands it replies to the messages of this read only: a reply to an earlier read may be older than a
+// write that has ended since.
 type Reader struct {
 	self    Replica
 	known   Accepted
@@ -18,7 +19,7 @@
 // Start asks the known set.
 func (r *Reader) Start() Output { return Output{Messages: r.ask()} }
 
-// Deliver takes a reply.
+// Deliver takes a reply to a message of this read.
 func (r *Reader) Deliver(reply Reply) Output {
 	if reply.Kind != Query || reply.Refusal != Agreed || !r.asked[reply.From.ID] {
 		return Output{}
