A prefill worker's load is what is yet to be read there, by its memory

The load counted requests at their usual size, so it did not see that. Where a worker takes few requests at once (16 on the grown sites) it also held back prompts that could have waited there.

Change: a slot of a prefill worker is 1,024 unread tokens; KvUsed tells the size of what is being read, half of which is still to come; a prompt takes what is its own. Its room is 128 slots whatever number of requests it takes. The parts on load move to load.go; home uses coordination/rendezvous, where the same hash stood.

--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -7,30 +7,18 @@
 	"sync"
 	"time"
 
-	"github.com/samber/lo"
-
 	"weldscale/decide"
 	"weldscale/internal/fleetwire"
 )
 
 const (
-	// heldPrefixWeight is what a held prefix counts in the choice of a prefill worker, in times of the reading that it saves: that
-	// reading also takes the place of others', and has a price of its own.
-	heldPrefixWeight = 4.0
-	// nearShare is how much fuller than a far one a decode worker near the prompt's memory may be, in parts of its slots: the move
-	// is shorter there and has half the price.
-	nearShare = 1.0 / 16
 	// reportShare is how long the answer of a probe serves other draws of the same worker. Workers tell their load as it was
-	// some 100 ms ago; a probe that is sent within this time would mostly bring the same report.
-	reportShare       = 40 * time.Millisecond
-	maxPushes         = 8                     // of one stage of a request, those included that were refused unseen
-	guessedRun        = 4                     // a stage is taken to need the aim divided by this, until one was seen
-	widestShare       = 4                     // of a worker's slots, one prompt takes at most that part: it must fit beside others
-	echoNoise         = 30 * time.Millisecond // a router that shares its core answers late by that itself
-	decodeReadingCost = 2.0                   // a decode worker reads at half the pace
-	usualUnits        = 4.0                   // of a prompt, until the first ones are seen
-	learnRate         = 0.05
-	maxClasses        = 512 // beyond it a class is shared: routes come and go
+	// some 100 ms ago, so a probe within this time brings little that is new, and our own pushes are counted beside the report.
+	reportShare = 40 * time.Millisecond
+	maxPushes   = 8                     // of one stage of a request, those included that were refused unseen
+	guessedRun  = 4                     // a stage is taken to need the aim divided by this, until one was seen
+	echoNoise   = 30 * time.Millisecond // a router that shares its core answers late by that itself
+	maxClasses  = 512                   // beyond it a class is shared: routes come and go
 )
 
 // pool places the work of one service and stage. It gives the dispatcher what it owes it (one call at a time, a clock, timers)
@@ -199,43 +187,6 @@
 	return id, placed
 }
 
-// weigh sets what a job takes of a worker, and who holds part of its prompt already.
-func (p *pool) weigh(job *Job, in *decide.Job) {
-	switch p.settings.stage {
-	case fleetwire.StagePrefill:
-		p.weighReading(job, in, 1)
-		in.Memory = float64(job.PromptTokens)
-	case fleetwire.StageDecode:
-		p.preferNear(job, in)
-		if job.ReadsPrompt {
-			p.weighReading(job, in, decodeReadingCost)
-		}
-		in.Memory = float64(job.PromptTokens + job.OutputTokens)
-	}
-}
-
-// preferNear lets a worker of the zone in which the prompt's memory lies join the draw, with the advantage that a shorter move
-// is worth.
-func (p *pool) preferNear(job *Job, in *decide.Job) {
-	near := lo.Filter(p.ready, func(w fleetwire.Instance, _ int) bool { return w.Zone == job.PreferZone })
-	if len(near) == 0 {
-		return
-	}
-	in.Holder = p.ids[near[rand.IntN(len(near))].ID]
-	in.Saved = float64(p.slots) * nearShare
-}
-
-// weighReading sets what the reading of a prompt takes, and which worker holds its shared prefix.
-func (p *pool) weighReading(job *Job, in *decide.Job, cost float64) {
-	in.Slots = min(max(1, cost*units(job.PromptTokens)), float64(p.slots)/widestShare)
-	p.units += learnRate * (in.Slots - p.units)
-	prefix, tokens := sharedPrefix(job.Parts)
-	if holder := home(prefix, p.ready); holder != "" {
-		in.Holder = p.ids[holder]
-		in.Saved = cost * units(tokens) * heldPrefixWeight
-	}
-}
-
 func (p *pool) classOf(job *Job) int {
 	key := classKey{
 		repeatable: job.Repeatable,
@@ -353,29 +304,6 @@
 	})
 }
 
-// load turns a worker's report into the dispatcher's figures: slots, those of a prefill worker counted in tokens to read.
-func (p *pool) load(report Report, err error) decide.Report {
-	if err != nil {
-		return decide.Report{}
-	}
-	if report.Busy || report.Stage != "" && report.Stage != p.settings.stage {
-		return decide.Report{Has: decide.HasFreeSlots, FreeSlots: -1} // an order is under way: it takes nothing new
-	}
-	held := float64(report.Running + report.Queued)
-	switch p.settings.stage {
-	case fleetwire.StagePrefill:
-		held *= p.units
-	case fleetwire.StageDecode:
-		held = float64(report.Running) + float64(report.Queued)*p.units
-	}
-	load := decide.Report{Has: decide.HasFreeSlots | decide.HasInFlight, FreeSlots: float64(p.slots) - held, InFlight: held}
-	if report.KvCapacity > 0 {
-		load.Has |= decide.HasFreeMemory
-		load.FreeMemory = float64(report.KvCapacity - report.KvUsed)
-	}
-	return load
-}
-
 // poolActions carries out the dispatcher's actions. Each is noted while the call runs and done after it.
 type poolActions pool
 
--- a/internal/placement/prefix.go
+++ b/internal/placement/prefix.go
@@ -1,9 +1,9 @@
 package placement
 
 import (
-	"hash/fnv"
 	"slices"
 
+	"weldscale/coordination/rendezvous"
 	"weldscale/internal/fleetwire"
 )
 
@@ -32,27 +32,15 @@
 	if prefix == "" {
 		return ""
 	}
-	best, bestScore := "", uint64(0)
+	best, bestWeight := "", uint64(0)
 	for i := range workers {
-		if score := rendezvousScore(prefix, workers[i].ID); best == "" || score > bestScore {
-			best, bestScore = workers[i].ID, score
+		if weight := rendezvous.Weight(prefix, workers[i].ID); best == "" || weight > bestWeight {
+			best, bestWeight = workers[i].ID, weight
 		}
 	}
 	return best
 }
 
-func rendezvousScore(key, member string) uint64 {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(key))
-	_, _ = hash.Write([]byte{0})
-	_, _ = hash.Write([]byte(member))
-	score := hash.Sum64()
-	score ^= score >> 33 // FNV's high bits change little with the last bytes
-	score *= 0xff51afd7ed558ccd
-	score ^= score >> 33
-	return score
-}
-
 // readyOf returns the workers of a list that take work.
 func readyOf(workers []fleetwire.Instance) []fleetwire.Instance {
 	return slices.DeleteFunc(slices.Clone(workers), func(w fleetwire.Instance) bool {
