Reports of workers serve for 100 ms, as old as what they tell

Workers report their load as it was some 100 ms ago; a second probe within that time mostly brings the same, and own pushes are counted beside the report.

--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -14,7 +14,7 @@
 const (
 	// reportShare is how long the answer of a probe serves other draws of the same worker. Workers tell their load as it was
 	// some 100 ms ago, so a probe within this time brings little that is new, and our own pushes are counted beside the report.
-	reportShare = 40 * time.Millisecond
+	reportShare = 100 * time.Millisecond
 	maxPushes   = 8                     // of one stage of a request, those included that were refused unseen
 	guessedRun  = 4                     // a stage is taken to need the aim divided by this, until one was seen
 	echoNoise   = 30 * time.Millisecond // a router that shares its core answers late by that itself
