Stages: a look at full decode workers moves the share at once

Change: from three quarters full on one look is enough, and the step goes by what is lacking, 0.12 at most.

--- a/internal/stages/balance.go
+++ b/internal/stages/balance.go
@@ -8,9 +8,13 @@
 	leastShare = 0.30
 	mostShare  = 0.80
 	shareStep  = 0.06
+	// largestStep bounds what one look may take from those that read: load swings, and each change costs seconds of a worker.
+	largestStep = 0.12
 	// A batch that fills more than busyDecode of a worker's slots makes long answers late; below idleDecode there is room.
 	busyDecode = 0.45
 	idleDecode = 0.30
+	// fullDecode is so full that workers turn requests away: one look is enough, and the step goes by the load.
+	fullDecode = 0.75
 	// longQueue prompts that wait at a worker, on the mean, are more than bad luck.
 	longQueue = 1.0
 	// confirmations in a row are needed for a step, since reports are a moment old and load swings.
@@ -43,11 +47,21 @@
 		b.wanted, b.times = wanted, 0
 	}
 	b.times++
-	if wanted == 0 || b.times < confirmations {
+	if wanted == 0 || b.times < confirmations && load.DecodeFilled < fullDecode {
 		return
 	}
 	b.times = 0
-	b.share = min(max(b.share+float64(wanted)*shareStep, leastShare), mostShare)
+	step := float64(wanted) * shareStep
+	if load.DecodeFilled >= fullDecode {
+		step = -b.needed(load)
+	}
+	b.share = min(max(b.share+step, leastShare), mostShare)
+}
+
+// needed is the part of the workers that the making of tokens lacks to be no more than busy.
+func (b *Balance) needed(load Load) float64 {
+	lacking := (1 - b.share) * (load.DecodeFilled/busyDecode - 1)
+	return min(max(lacking, shareStep), largestStep)
 }
 
 // direction is 1 where more workers are to read prompts, -1 where more are to make tokens.
