A request that may run once only waits to see its new connection stand

A worker that holds all the connections that it takes accepts one more and resets it at once; the request was on its way by then, and a reset is no word that it did not run.

Change: a new connection is watched for as long as it took to come about and 3 ms, 20 ms at most; if it is reset meanwhile the request is placed elsewhere, as at a full worker.

--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -187,10 +187,15 @@
 		if err != nil {
 			return nil, err
 		}
-		if !q.carried(conn) {
-			return conn, nil
+		if q.carried(conn) {
+			conn.Discard()
+			continue
 		}
-		conn.Discard()
+		if !q.repeatable() && !conn.Proven(ctx) {
+			conn.Discard()
+			return nil, upstream.ErrExhausted // the worker holds all the connections that it takes
+		}
+		return conn, nil
 	}
 }
 
--- a/internal/router/forward_test.go
+++ b/internal/router/forward_test.go
@@ -258,6 +258,35 @@
 	require.Equal(t, []placement.Result{placement.ResultNotExecuted, placement.ResultNotExecuted}, f.placer.seen())
 }
 
+func TestAConnectionOverTheWorkersCapLosesNoRequest(t *testing.T) {
+	f := newFixture(t)
+	var seen sights
+	full, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = full.Close() })
+	go func() { // it takes each connection and resets it at once
+		for {
+			conn, err := full.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	}()
+	f.at("", full.Addr().String())
+	f.worker("", func(w http.ResponseWriter, r *http.Request) {
+		seen.note(r.Header.Get("Request-Id"))
+		stamped(w, r, "s")
+		_, _ = io.WriteString(w, "ok")
+	})
+	response, body := f.get(http.MethodPost, "/unsafe/x", "once")
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Equal(t, "ok", body)
+	require.Equal(t, 1, seen.of("once"))
+	require.Equal(t, []placement.Result{placement.ResultNotExecuted, placement.ResultServed}, f.placer.seen())
+}
+
 func TestNothingSentIsSaidSo(t *testing.T) {
 	f := newFixture(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/router/upstream/conn.go
+++ b/internal/router/upstream/conn.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,10 +16,31 @@
 	raw       *watchedConn
 	idleSince time.Time
 	rested    time.Duration // before its present use; 0: it is new
+	cameIn    time.Duration // how long it took to come about
 	keepFor   time.Duration
 	leaving   bool // the last answer said Connection: close
 }
 
+// Proven reports whether the connection stands. A worker that holds too many connections accepts a new one and resets it at once,
+// which a request that was sent meanwhile would be lost by. So a new one is watched for as long as it took to come about.
+func (c *Conn) Proven(ctx context.Context) bool {
+	if c.rested > 0 {
+		return c.client.Available() == 1
+	}
+	select {
+	case <-time.After(min(c.cameIn+provingMargin, provingAtMost)):
+		return c.client.Available() == 1
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Bounds of the time that a new connection is watched.
+const (
+	provingMargin = 3 * time.Millisecond // the worker's own part: a connection costs it a moment of work
+	provingAtMost = 20 * time.Millisecond
+)
+
 // RoundTrip sends the request and returns the head of the answer. It sends at most once.
 func (c *Conn) RoundTrip(request *http.Request) (*http.Response, error) {
 	c.raw.wrote.Store(false)
--- a/internal/router/upstream/pool.go
+++ b/internal/router/upstream/pool.go
@@ -82,11 +82,13 @@
 
 func (p *Pool) connect(ctx context.Context, address string) (*Conn, error) {
 	slot := &dialSlot{}
+	began := time.Now()
 	client, err := p.transport.NewClientConn(context.WithValue(ctx, dialSlotKey{}, slot), "http", address)
 	if err != nil {
 		return nil, eris.Wrapf(ErrConnect, "%s: %v", address, err)
 	}
-	return &Conn{pool: p, address: address, client: client, raw: slot.conn, keepFor: p.options.KeepFor}, nil
+	return &Conn{pool: p, address: address, client: client, raw: slot.conn, keepFor: p.options.KeepFor,
+		cameIn: time.Since(began)}, nil
 }
 
 func (p *Pool) keep(conn *Conn) {
--- a/internal/router/upstream/pool_test.go
+++ b/internal/router/upstream/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -51,6 +52,50 @@
 	require.Empty(t, pool.workers)
 }
 
+func TestANewConnectionThatIsResetIsNotProven(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	reset := make(chan struct{})
+	go func() {
+		defer close(reset)
+		conn, err := listener.Accept()
+		if err == nil {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	}()
+	pool := New(Options{})
+	conn, err := pool.Acquire(t.Context(), listener.Addr().String(), 1, Any)
+	require.NoError(t, err)
+	<-reset
+	require.False(t, conn.Proven(t.Context()))
+	require.False(t, conn.Sent())
+	conn.Discard()
+	require.Empty(t, pool.workers)
+}
+
+func TestAConnectionThatStandsIsProven(t *testing.T) {
+	address := serverOf(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	pool := New(Options{})
+	conn, err := pool.Acquire(t.Context(), address, 1, Any)
+	require.NoError(t, err)
+	require.True(t, conn.Proven(t.Context()))
+	call(t, conn, address)
+	conn.Release()
+	kept, err := pool.Acquire(t.Context(), address, 1, Any)
+	require.NoError(t, err)
+	require.Same(t, conn, kept)
+	require.True(t, kept.Proven(t.Context()))
+	kept.Discard()
+	ended, end := context.WithCancel(t.Context())
+	end()
+	fresh, err := pool.Acquire(t.Context(), address, 1, Any)
+	require.NoError(t, err)
+	require.False(t, fresh.Proven(ended))
+	fresh.Discard()
+}
+
 func TestOnlyAConnectionThatWasReadWholeIsKept(t *testing.T) {
 	for name, serve := range map[string]http.HandlerFunc{
 		"unread": func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") },
