--- a/internal/router/upstream/conn.go
+++ b/internal/router/upstream/conn.go
@@ -28,18 +28,15 @@
 		return c.client.Available() == 1
 	}
 	select {
-	case <-time.After(min(c.cameIn+provingMargin, provingAtMost)):
+	case <-time.After(min(c.cameIn, longestConnect) + c.pool.options.ProvingMargin):
 		return c.client.Available() == 1
 	case <-ctx.Done():
 		return false
 	}
 }
 
-// Bounds of the time that a new connection is watched.
-const (
-	provingMargin = 3 * time.Millisecond // the worker's own part: a connection costs it a moment of work
-	provingAtMost = 20 * time.Millisecond
-)
+// longestConnect bounds what a slow start of a connection adds to the time that it is watched.
+const longestConnect = 17 * time.Millisecond
 
 // RoundTrip sends the request and returns the head of the answer. It sends at most once.
 func (c *Conn) RoundTrip(request *http.Request) (*http.Response, error) {
--- a/internal/router/upstream/upstream.go
+++ b/internal/router/upstream/upstream.go
@@ -28,6 +28,7 @@
 	defaultUserTimeout    = 1500 * time.Millisecond
 	defaultBufferBytes    = 2 << 10
 	defaultKeepFor        = 30 * time.Second
+	defaultProvingMargin  = 3 * time.Millisecond // the worker's own part: a connection costs it a moment of work
 )
 
 // tcpUserTimeout is TCP_USER_TIMEOUT of tcp(7), which package syscall does not name on Linux.
@@ -39,6 +40,7 @@
 	UserTimeout    time.Duration // how long sent bytes may stay unacknowledged before the connection counts as dead
 	BufferBytes    int           // size of the read and of the write buffer of a connection
 	KeepFor        time.Duration // how long an idle connection is kept whose worker names no time of its own
+	ProvingMargin  time.Duration // how much longer than it took to come about a new connection is watched by Proven
 }
 
 func (o Options) withDefaults() Options {
@@ -54,6 +56,9 @@
 	if o.KeepFor == 0 {
 		o.KeepFor = defaultKeepFor
 	}
+	if o.ProvingMargin == 0 {
+		o.ProvingMargin = defaultProvingMargin
+	}
 	return o
 }
 
