--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -65,9 +65,10 @@
 
 // weighReading sets what the reading of a prompt takes where its shared prefix is held, and which worker holds it.
 func (p *pool) weighReading(job *Job, in *decide.Job, cost float64) {
-	in.Slots = min(max(1, cost*units(OwnTokens(job.PromptTokens, job.Parts))), p.capacity()/widestShare)
-	p.units += learnRate * (in.Slots - p.units)
 	prefix, tokens := sharedPrefix(job.Parts)
+	own := max(0, job.PromptTokens-tokens)
+	in.Slots = min(max(1, cost*units(own)), p.capacity()/widestShare)
+	p.units += learnRate * (in.Slots - p.units)
 	if holder := home(prefix, p.ready); holder != "" {
 		in.Holder = p.ids[holder]
 		in.Saved = cost * units(tokens) * heldPrefixWeight
