Evidence: standing reports are said once more as a member joins

Three schedulers that had tried a failing worker before the fourth was known to them never spoke of it again, since nobody tries an ejected worker; the fourth heard nothing in 20 s. Test: TestAMemberThatJoinsLateHearsStandingEvidence, seen to fail without. The test of the fleet prints what each member says where it fails.

--- a/cmd/weldscale/fleet.go
+++ b/cmd/weldscale/fleet.go
@@ -65,8 +65,13 @@
 		part.budgets.Take(from, data)
 		return false
 	}
+	joined := func() {
+		if part.evidence != nil {
+			part.evidence.Repeat()
+		}
+	}
 	link, err := fleet.Start(fleet.Config{Fleet: f.Name, Name: c.Name, Life: life, Zone: f.Zone, Bind: f.Bind, Via: f.Via, Join: f.Join, Key: key,
-		Members: f.Members, Take: take})
+		Members: f.Members, Take: take, Joined: joined})
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/weldscale/fleet_test.go
+++ b/cmd/weldscale/fleet_test.go
@@ -276,10 +276,17 @@
 	}
 	f := startMembers(t, 4, "", block("shop", "", all...))
 	halt := f.load(t, 5*time.Millisecond, f.serve[:3]...)
-	require.Eventually(t, func() bool {
+	heard := assert.Eventually(t, func() bool {
 		text, _, _ := command(t, nil, "fleet", filepath.Join(f.dir, "d"))
 		return strings.Contains(text, "evidence against=shop/bad ")
 	}, patience, 20*time.Millisecond)
+	if !heard {
+		for _, member := range f.all {
+			text, _, _ := command(t, nil, "fleet", filepath.Join(f.dir, member.Name))
+			t.Logf("member %s says:\n%s", member.Name, text)
+		}
+		t.FailNow()
+	}
 	from := &bench{t: t, addr: f.serve[3]}
 	for n := range 40 {
 		status, _, _ := from.to("shop.example.org", "/api/1", fmt.Sprint("d-", n), "view", patience)
--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -138,6 +138,13 @@
 // Stalled drops what this member has seen: after a stall of its own, what looked late or lost says nothing of workers.
 func (b *Book) Stalled() { b.own = map[string]*own{} }
 
+// Repeat has Due return each standing report once more, for a member that was not there when it was sent.
+func (b *Book) Repeat() {
+	for _, o := range b.own {
+		o.spoke = false
+	}
+}
+
 // Take takes in another member's report and reports whether it is news, which is worth passing on.
 func (b *Book) Take(now time.Duration, r Report) bool {
 	if r.From == "" || r.Worker == "" || r.Age < 0 || r.Kind < 0 || r.Kind >= kinds {
--- a/internal/fleet/evidence.go
+++ b/internal/fleet/evidence.go
@@ -98,6 +98,15 @@
 	return names
 }
 
+// Repeat sends each standing report once more with the next rounds, for a member that has joined since.
+func (v *Evidence) Repeat() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, b := range v.books {
+		b.Repeat()
+	}
+}
+
 // Take takes in a message of a member if it is evidence, and reports whether it is and whether it is to be passed on.
 func (v *Evidence) Take(from string, data []byte) (mine, news bool) {
 	if len(data) == 0 || data[0] != evidenceMark {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -41,6 +41,8 @@
 	// Take is given each message of a member, on one of several goroutines, and reports whether one that came by gossip is
 	// to be passed on. It must not keep data.
 	Take func(from string, data []byte) (passOn bool)
+	// Joined, if set, is called as a member is found to be alive. It must neither wait nor ask the link anything.
+	Joined func()
 }
 
 // Bounds on what comes in.
@@ -116,7 +118,7 @@
 	m.Name, m.Label, m.Transport = c.Name, c.Fleet, l.wire
 	m.GossipInterval = gossipEvery
 	m.SecretKey = c.Key
-	m.Delegate, m.Events, m.Conflict = delegate{l}, nil, nil
+	m.Delegate, m.Events, m.Conflict = delegate{l}, events{l}, nil
 	m.Logger = log.New(io.Discard, "", 0) // what matters is counted, and told by Members
 	m.DeadNodeReclaimTime = time.Second   // a restart may come back on another address
 	list, err := memberlist.Create(m)
@@ -272,5 +274,21 @@
 func (d delegate) GetBroadcasts(overhead, limit int) [][]byte {
 	return d.l.gossip.GetBroadcasts(overhead, limit)
 }
-func (delegate) LocalState(bool) []byte        { return nil }
+
+// LocalState is empty: nothing here is exchanged whole.
+func (delegate) LocalState(bool) []byte { return nil }
+
+// MergeRemoteState takes nothing.
 func (delegate) MergeRemoteState([]byte, bool) {}
+
+// events is told by memberlist who comes and goes.
+type events struct{ l *Link }
+
+func (e events) NotifyJoin(member *memberlist.Node) {
+	if e.l.c.Joined != nil && member.Name != e.l.c.Name {
+		e.l.c.Joined()
+	}
+}
+
+func (events) NotifyLeave(*memberlist.Node)  {}
+func (events) NotifyUpdate(*memberlist.Node) {}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"net"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"weldscale/internal/evidence"
 	"weldscale/internal/share"
 )
 
@@ -58,6 +60,41 @@
 	assert.Len(t, one.Members(), 2)
 }
 
+// What was seen of a worker before a member joined reaches that member too: nobody tries the worker again meanwhile, so nothing
+// new would be said of it.
+func TestAMemberThatJoinsLateHearsStandingEvidence(t *testing.T) {
+	const service, worker, known = "shop", "bad", 5
+	first, firstEvidence := startWithEvidence(t, "a", Config{Bind: free(t)})
+	firstEvidence.Round(service, known)
+	firstEvidence.Saw(service, worker, evidence.Failed)
+	for range 3 {
+		firstEvidence.Round(service, known) // said to nobody
+	}
+	first.gossip.Reset() // as after its last transmission
+
+	_, secondEvidence := startWithEvidence(t, "b", Config{Bind: free(t), Join: []string{first.c.Bind}})
+	secondEvidence.Round(service, known)
+	secondEvidence.Saw(service, worker, evidence.Failed)
+	require.Eventually(t, func() bool {
+		firstEvidence.Round(service, known)
+		return slices.Equal([]string{worker}, secondEvidence.Round(service, known))
+	}, patience, 10*time.Millisecond, "two complaints are enough, and the second member has only its own")
+}
+
+// startWithEvidence starts a member whose evidence goes over its link.
+func startWithEvidence(t *testing.T, name string, c Config) (*Link, *Evidence) {
+	var link *Link
+	const life = 1
+	books := NewEvidence(name, "", life, 3, func() *Link { return link })
+	c.Fleet, c.Name, c.Life, c.Joined = "print", name, life, books.Repeat
+	c.Take = func(from string, data []byte) bool {
+		_, news := books.Take(from, data)
+		return news
+	}
+	link = start(t, c)
+	return link, books
+}
+
 // A message that makes no sense, of nobody or of one who shouts is dropped and counted.
 func TestPoison(t *testing.T) {
 	l := start(t, Config{Fleet: "print", Name: "a", Bind: free(t)})
