Placement: the holder of a shared part is asked first, another only if it matters

Cause: each draw asked the holder and a random worker, though the holder's answer alone often decides: nothing that the other says can make it better. Draws without a holder ask two at once, as before.

--- a/decide/api.go
+++ b/decide/api.go
@@ -146,6 +146,9 @@
 	Zone     int      // draws begin in the zone of that number less one; 0: in that of the node
 	Holder   WorkerID // joins the first draw, since it holds what others would do anew; 0: none
 	Saved    float64  // the slots that the holder saves
+	// Enough is how many free slots of the holder, with what it saves, end the draw: another can't be better, or not by what
+	// asking it costs. The holder is asked first then, and the other only where it has less. 0: both are asked at once.
+	Enough float64
 }
 
 // Fields says which figures a Report carries.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -8,6 +8,7 @@
 const (
 	ms Time = 1000
 
+	holderWait   = 15 * ms    // for the holder of a job alone, before another is asked as well
 	probeWait    = 60 * ms    // both answers or this: longer than any round trip inside one operator's network
 	backoffMin   = 15 * ms    // a first no is often the bad luck of one pair
 	backoffMax   = 120 * ms   // by then the fleet is busy, and asking more often only costs it work
@@ -131,7 +132,8 @@
 	return within
 }
 
-// drawPair is the mechanism: two distinct ready workers at random, both probed.
+// drawPair is the mechanism: two distinct ready workers at random, both probed. Where one is the holder and
+// may be so good that the other's answer can't matter, it is asked first.
 func (d *Dispatcher) drawPair(j *job) {
 	j.draw++
 	j.drawing = true
@@ -154,15 +156,32 @@
 		d.settle(j)
 		return
 	}
-	for _, w := range j.pair {
-		if w != nil {
-			w.probes = append(w.probes, probe{at: d.now, job: j.ID, draw: j.draw})
-			d.act.Probe(w.ID)
-		}
+	d.probe(j, j.pair[0])
+	j.unasked = j.Enough > 0 && j.pair[0].ID == j.Holder && j.pair[1] != nil
+	if j.unasked {
+		d.act.Wake(holderWait, wakeProbes|uint64(j.draw)<<32|uint64(j.ID))
+		return
 	}
+	d.probeSecond(j)
+}
+
+// probeSecond asks the second of the pair and gives both the time to answer.
+func (d *Dispatcher) probeSecond(j *job) {
+	j.unasked = false
+	d.probe(j, j.pair[1])
 	d.act.Wake(probeWait, wakeProbes|uint64(j.draw)<<32|uint64(j.ID))
 }
 
+// enough tells whether the holder has answered and an answer of the other one would not matter.
+func (d *Dispatcher) enough(j *job) bool {
+	w := j.pair[0]
+	if w == nil || !j.answered[0] || !d.usable(j, w) || d.slowness(w, j.echo[0]) > 1 {
+		return false
+	}
+	r, _, fits := d.room(j, w, j.load[0])
+	return fits && r.FreeSlots+j.Saved >= j.Enough
+}
+
 // pick draws one worker for j. Crossing zones costs time and money, so draws stay near at first: once at
 // least, and for a part of the slack that grows with the price of crossing.
 func (d *Dispatcher) pick(j *job, other *worker) *worker {
--- a/decide/events.go
+++ b/decide/events.go
@@ -54,7 +54,10 @@
 			}
 		}
 	}
-	if (j.pair[0] == nil || j.answered[0]) && (j.pair[1] == nil || j.answered[1]) {
+	switch {
+	case j.unasked && !d.enough(j):
+		d.probeSecond(j)
+	case j.unasked, (j.pair[0] == nil || j.answered[0]) && (j.pair[1] == nil || j.answered[1]):
 		d.settle(j)
 	}
 }
@@ -158,7 +161,11 @@
 			d.giveUp(j)
 		}
 	case wakeProbes:
-		if j.drawing && j.draw == mark {
+		switch {
+		case !j.drawing || j.draw != mark:
+		case j.unasked:
+			d.probeSecond(j)
+		default:
 			d.settle(j)
 		}
 	case wakeRedraw:
--- a/decide/holder_test.go
+++ b/decide/holder_test.go
@@ -1,6 +1,9 @@
 package decide
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 // place lets a dispatcher with six equal workers place one job; each worker answers its probe by show. It returns the
 // workers that were probed and the one that got the push.
@@ -111,3 +114,96 @@
 		}
 	}
 }
+
+// holderDraw is a dispatcher that draws for a job whose holder, worker 1, is asked first.
+type holderDraw struct {
+	*Dispatcher
+	acts    recorder
+	timeout uint64 // of the first probe
+}
+
+func newHolderDraw(t *testing.T) *holderDraw {
+	t.Helper()
+	draw := &holderDraw{}
+	d, err := New(testSettings(), 1, &draw.acts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	draw.Dispatcher = d
+	d.Announce(second, ListFull, []Worker{{ID: 1, State: Ready}, {ID: 2, State: Ready}})
+	d.Arrive(second, Job{ID: 1, GiveUpAt: 6 * second, Holder: 1, Saved: 2, Enough: 10})
+	draw.timeout = draw.want(t, []WorkerID{1}, nil)
+	return draw
+}
+
+// want compares the workers that were probed and pushed to since the last call, and returns the token of the last timer.
+func (draw *holderDraw) want(t *testing.T, probed, pushed []WorkerID) (token uint64) {
+	t.Helper()
+	var gotProbed, gotPushed []WorkerID
+	for _, a := range draw.acts.take("") {
+		switch a.kind {
+		case "probe":
+			gotProbed = append(gotProbed, a.worker)
+		case "push":
+			gotPushed = append(gotPushed, a.worker)
+		case "wake":
+			token = a.token
+		}
+	}
+	if !slices.Equal(gotProbed, probed) || !slices.Equal(gotPushed, pushed) {
+		t.Fatalf("probed %v and pushed to %v, want %v and %v", gotProbed, gotPushed, probed, pushed)
+	}
+	return token
+}
+
+func (draw *holderDraw) answer(after Time, id WorkerID, free float64) {
+	draw.ProbeResult(second+after, id, Served, ms, Report{Has: HasFreeSlots, FreeSlots: free})
+}
+
+// What the holder saves counts: eight free slots and two saved are the ten that are enough.
+func TestAHolderWithEnoughRoomGetsTheJobUnrivalled(t *testing.T) {
+	draw := newHolderDraw(t)
+	draw.answer(ms, 1, 8)
+	draw.want(t, nil, []WorkerID{1})
+}
+
+func TestAHolderWithLessThanEnoughIsComparedWithAnother(t *testing.T) {
+	draw := newHolderDraw(t)
+	draw.answer(ms, 1, 7)
+	draw.want(t, []WorkerID{2}, nil)
+	draw.answer(2*ms, 2, 10)
+	draw.want(t, nil, []WorkerID{2})
+}
+
+func TestAnotherIsAskedWhereTheHolderRefusesItsProbe(t *testing.T) {
+	draw := newHolderDraw(t)
+	draw.ProbeResult(second+ms, 1, ConnectFailed, ms, Report{})
+	draw.want(t, []WorkerID{2}, nil)
+	draw.answer(2*ms, 2, 10)
+	draw.want(t, nil, []WorkerID{2})
+}
+
+func TestAnotherIsAskedWhereTheHolderIsSilent(t *testing.T) {
+	draw := newHolderDraw(t)
+	draw.Wake(second+holderWait, draw.timeout)
+	timeout := draw.want(t, []WorkerID{2}, nil)
+	draw.answer(holderWait+ms, 2, 10)
+	draw.want(t, nil, nil) // the holder may still answer
+	draw.Wake(second+holderWait+probeWait, timeout)
+	draw.want(t, nil, []WorkerID{2})
+}
+
+func TestAloneTheHolderIsNotWaitedForTwice(t *testing.T) {
+	var acts recorder
+	d, err := New(testSettings(), 1, &acts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Announce(second, ListFull, []Worker{{ID: 1, State: Ready}})
+	d.Arrive(second, Job{ID: 1, GiveUpAt: 6 * second, Holder: 1, Enough: 10})
+	acts.take("")
+	d.ProbeResult(second+ms, 1, Served, ms, Report{Has: HasFreeSlots, FreeSlots: 2})
+	if pushes := acts.take("push"); len(pushes) != 1 {
+		t.Fatalf("%d pushes, want one: there is no other worker", len(pushes))
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -87,6 +87,7 @@
 	echo      [2]Time // how long each probe took
 	answered  [2]bool
 	drawing   bool   // a pair is being probed or a redraw waits
+	unasked   bool   // the second of the pair is asked only where the holder's answer is not enough
 	draw      uint16 // number of the present draw; answers and timers of earlier ones are stale
 	misses    int    // draws that showed no room
 	closed    bool
@@ -338,6 +339,14 @@
 	return out
 }
 
+// probe asks w, if there is one, for the sake of j's present draw.
+func (d *Dispatcher) probe(j *job, w *worker) {
+	if w != nil {
+		w.probes = append(w.probes, probe{at: d.now, job: j.ID, draw: j.draw})
+		d.act.Probe(w.ID)
+	}
+}
+
 // takeProbe removes and returns the probe that an answer belongs to: the one sent nearest to sentAt.
 func (w *worker) takeProbe(sentAt Time) (probe, bool) {
 	if len(w.probes) == 0 {
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -19,6 +19,9 @@
 	// nearShare is how much fuller than a far one a decode worker near the prompt's memory may be, in parts of its slots: the move
 	// is shorter there and has half the price.
 	nearShare = 1.0 / 16
+	// Another worker than the holder is asked only where the probe may be worth its price: where the holder, with what it saves,
+	// has more than this to do beyond an idle one, in units.
+	worthAsking = 4.0
 	// prefillCapacity is how many units may wait at a prefill worker, whatever number of requests it takes: about a second.
 	prefillCapacity = 128.0
 	// unreadShare of a prompt is yet to be read, on the mean, when one looks at a worker that reads it.
@@ -61,6 +64,7 @@
 	}
 	in.Holder = p.ids[near[rand.IntN(len(near))].ID]
 	in.Saved = float64(p.slots) * nearShare
+	in.Enough = p.capacity()
 }
 
 // weighReading sets what the reading of a prompt takes where its shared prefix is held, and which worker holds it.
@@ -72,6 +76,7 @@
 	if holder := home(prefix, p.ready); holder != "" {
 		in.Holder = p.ids[holder]
 		in.Saved = cost * units(tokens) * heldPrefixWeight
+		in.Enough = p.capacity() - worthAsking
 	}
 }
 
