Placement: the load that an answer states stands for a probe

Cause: decode workers state their load in each answer (Server-Load), and it was not read; routers paid probes for what they had been told a moment before. Change: an answer's load completes the last report for 350 ms (a report serves for 100 ms and is 100 ms old when it comes); after a second a report is asked for again, since answers tell nothing of memory.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -530,3 +530,40 @@
 		}
 	})
 }
+
+// The load that a worker states with an answer is of that moment and costs nothing, so draws need no probe for a while. It
+// tells nothing of memory, so a report has to come now and then.
+func TestTheLoadOfAnAnswerStandsForAProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := workers("decode", 2)
+		prober := &fakeProber{reports: map[string]Report{}}
+		placer := newTestPlacer(prober)
+		placer.Update(snapshot(1, list))
+		place := func() (target string) {
+			placer.Place(t.Context(), testJob("decode"), func(_ context.Context, w fleetwire.Instance, ready func() bool) Result {
+				ready()
+				target = w.ID
+				return ResultServed
+			})
+			return target
+		}
+		placer.Answered(&list[0], Load{Running: 6})
+		place()
+		require.Len(t, prober.probed, 2, "an answer completes a report and does not replace it")
+
+		for begun := time.Now(); time.Since(begun) < reportKept-answerShare; time.Sleep(answerShare / 2) {
+			placer.Answered(&list[0], Load{Running: 5})
+			placer.Answered(&list[1], Load{Running: 2})
+			require.Equal(t, "decode-1", place())
+			placer.Answered(&list[1], Load{Running: 7})
+			require.Equal(t, "decode-0", place(), "the newest answer counts")
+		}
+		require.Len(t, prober.probed, 2)
+
+		time.Sleep(reportKept)
+		placer.Answered(&list[0], Load{Running: 5})
+		placer.Answered(&list[1], Load{Running: 2})
+		place()
+		require.Len(t, prober.probed, 4, "a report this old is asked for again")
+	})
+}
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -197,6 +197,16 @@
 	}
 }
 
+// Answered takes in the load that a worker told with an answer: the next draws of that worker need no probe for a while.
+func (p *Placer) Answered(target *fleetwire.Instance, load Load) {
+	p.mu.RLock()
+	known := p.pools[poolKey{target.Service, target.Stage}]
+	p.mu.RUnlock()
+	if known != nil {
+		known.answered(target.ID, load)
+	}
+}
+
 // countRequest notes a request in the budget of its service; the reading of a prompt is no request of its own.
 func (p *Placer) countRequest(job *Job) {
 	if job.Stage == fleetwire.StagePrefill {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -15,10 +15,15 @@
 	// reportShare is how long the answer of a probe serves other draws of the same worker. Workers tell their load as it was
 	// some 100 ms ago, so a probe within this time brings little that is new, and our own pushes are counted beside the report.
 	reportShare = 100 * time.Millisecond
-	maxPushes   = 8                     // of one stage of a request, those included that were refused unseen
-	guessedRun  = 4                     // a stage is taken to need the aim divided by this, until one was seen
-	echoNoise   = 30 * time.Millisecond // a router that shares its core answers late by that itself
-	maxClasses  = 512                   // beyond it a class is shared: routes come and go
+	// answerShare is how long the load that an answer told serves draws of that worker: it is of that moment, not of some
+	// 100 ms before, and had without a probe.
+	answerShare = 350 * time.Millisecond
+	// reportKept is how long a report is completed by what answers tell since. They tell nothing of memory.
+	reportKept = time.Second
+	maxPushes  = 8                     // of one stage of a request, those included that were refused unseen
+	guessedRun = 4                     // a stage is taken to need the aim divided by this, until one was seen
+	echoNoise  = 30 * time.Millisecond // a router that shares its core answers late by that itself
+	maxClasses = 512                   // beyond it a class is shared: routes come and go
 )
 
 // pool places the work of one service and stage. It gives the dispatcher what it owes it (one call at a time, a clock, timers)
@@ -52,6 +57,7 @@
 	instance fleetwire.Instance
 	report   Report
 	reportAt decide.Time
+	useUntil decide.Time   // the report serves draws until then
 	probing  []decide.Time // when each probe was asked for that waits for the answer under way
 }
 
@@ -256,7 +262,7 @@
 		p.call(func(now decide.Time) { p.dispatch.ProbeResult(now, id, blindStatus(w), now-asked, decide.Report{}) })
 		return
 	}
-	if w.reportAt > 0 && asked-w.reportAt < reportShare.Microseconds() {
+	if asked < w.useUntil {
 		load := p.load(w.report, nil)
 		p.mu.Unlock()
 		p.call(func(now decide.Time) { p.dispatch.ProbeResult(now, id, decide.Served, max(1, now-asked), load) })
@@ -295,6 +301,7 @@
 		}
 		if err == nil {
 			w.report, w.reportAt = report, now
+			w.useUntil = now + reportShare.Microseconds()
 		}
 		probing := w.probing
 		w.probing = nil
@@ -304,6 +311,19 @@
 	})
 }
 
+// answered takes in the load that a worker told with an answer. It completes a report of that worker.
+func (p *pool) answered(name string, load Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.settings.now()
+	w := p.workers[p.ids[name]]
+	if w == nil || w.report.Busy || w.reportAt == 0 || now-w.reportAt > reportKept.Microseconds() {
+		return
+	}
+	w.report.Running, w.report.Queued = load.Running, load.Waiting
+	w.useUntil = now + answerShare.Microseconds()
+}
+
 // poolActions carries out the dispatcher's actions. Each is noted while the call runs and done after it.
 type poolActions pool
 
--- a/internal/placement/probe.go
+++ b/internal/placement/probe.go
@@ -31,6 +31,12 @@
 	KvHandles  int
 }
 
+// Load is what a worker tells of itself with an answer.
+type Load struct {
+	Running int
+	Waiting int
+}
+
 // ErrNoReport is returned for a worker that answers but has no report.
 var ErrNoReport = eris.New("the worker has no report")
 
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -169,6 +169,7 @@
 		received.discard() // a late answer to another request stands in the place of ours
 		return nil, q.broken(ctx)
 	}
+	q.noteLoad(target, response)
 	if notExecuted(response) {
 		received.reject()
 		return nil, placement.ResultNotExecuted
@@ -176,6 +177,16 @@
 	return received, placement.ResultServed
 }
 
+// noteLoad passes on the load that a worker states with its answer.
+func (q *request) noteLoad(target *fleetwire.Instance, response *http.Response) {
+	if q.router.options.Answered == nil {
+		return
+	}
+	if load, ok := parseServerLoad(response.Header.Get(headerServerLoad)); ok {
+		q.router.options.Answered(target, load)
+	}
+}
+
 // connect returns a connection that has not carried this request before.
 func (q *request) connect(ctx context.Context, address string) (*upstream.Conn, error) {
 	restedAtMost := upstream.Any
--- a/internal/router/forward_test.go
+++ b/internal/router/forward_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"weldscale/internal/fleetwire"
 	"weldscale/internal/placement"
 	"weldscale/internal/router/upstream"
 )
@@ -139,6 +140,45 @@
 	require.Equal(t, []placement.Result{placement.ResultBroken}, f.placer.seen())
 }
 
+// A worker's statement of its load is passed on, whatever became of the request; what is no statement is not, nor one that came
+// with another request's answer.
+func TestTheLoadInAnAnswerIsPassedOn(t *testing.T) {
+	for _, trial := range []struct {
+		stated      string
+		notExecuted bool
+		stranger    bool
+		told        []placement.Load
+	}{
+		{stated: "3,1,8", told: []placement.Load{{Running: 3, Waiting: 1}}},
+		{stated: "8, 24, 8", notExecuted: true, told: []placement.Load{{Running: 8, Waiting: 24}}},
+		{stated: "3,1,8", stranger: true},
+		{stated: ""},
+		{stated: "3"},
+		{stated: "3,x,8"},
+		{stated: "-1,0,8"},
+	} {
+		f := newFixture(t)
+		var told []placement.Load
+		f.router.options.Answered = func(target *fleetwire.Instance, load placement.Load) {
+			require.Equal(t, "plain", target.Service)
+			told = append(told, load)
+		}
+		f.worker("", func(w http.ResponseWriter, r *http.Request) {
+			stamped(w, r, "s")
+			w.Header().Set("Server-Load", trial.stated)
+			if trial.stranger {
+				w.Header().Set("Request-Id", "another")
+			}
+			if trial.notExecuted {
+				w.Header().Set("Not-Executed", "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		})
+		f.get(http.MethodGet, "/unsafe/x", "id")
+		require.Equal(t, trial.told, told, "%+v", trial)
+	}
+}
+
 func TestSurplusBytesReachNobody(t *testing.T) {
 	f := newFixture(t)
 	f.rawWorker("", func(conn net.Conn, next func() *http.Request) {
--- a/internal/router/headers.go
+++ b/internal/router/headers.go
@@ -24,6 +24,7 @@
 	headerPrefix           = "Prefix-Hash"
 	headerPriority         = "Priority"
 	headerRetryAfter       = "Retry-After"
+	headerServerLoad       = "Server-Load"
 )
 
 // connectionFields concern one connection only, beside those that a Connection field names.
@@ -114,3 +115,16 @@
 	}
 	return p.parts[len(p.parts)-1].ID
 }
+
+// parseServerLoad reads the requests running and waiting of a worker's statement of its load; its slots follow.
+func parseServerLoad(value string) (load placement.Load, ok bool) {
+	running, rest, _ := strings.Cut(value, ",")
+	waiting, _, ok := strings.Cut(rest, ",")
+	if !ok {
+		return placement.Load{}, false
+	}
+	var err, waitingErr error
+	load.Running, err = strconv.Atoi(strings.TrimSpace(running))
+	load.Waiting, waitingErr = strconv.Atoi(strings.TrimSpace(waiting))
+	return load, err == nil && waitingErr == nil && load.Running >= 0 && load.Waiting >= 0
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"weldscale/coordination/watch"
+	"weldscale/internal/fleetwire"
 	"weldscale/internal/placement"
 	"weldscale/internal/router/upstream"
 )
@@ -35,6 +36,8 @@
 	Direct func(ownTokens int) bool
 	// Distrust is told of workers that enough other routers complain of. Nil: nobody is.
 	Distrust func(workers []string)
+	// Answered is told of the load that a worker states with an answer. Nil: nobody is.
+	Answered func(target *fleetwire.Instance, load placement.Load)
 	// RetryAfter is what a refusal says when nothing better is known; 0: defaultRetryAfter.
 	RetryAfter time.Duration
 }
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -60,6 +60,7 @@
 	router := New(Options{
 		Placer:   placer,
 		Distrust: placer.Distrust,
+		Answered: placer.Answered,
 		Pool:     upstream.New(upstream.Options{}),
 		Log:      log,
 	})
