Register: a node that ends lets the write in hand end and begins no other

Cause: TestFiveControllersWithThreeReplicas once could not remove a data folder: a call whose proposer had gone on without it wrote after the controller's end. A successor on the same disk could meet such a write too. Change: Node.Close takes the disk for good; a controller closes its node last, and waits 300 ms at most for a disk that hangs.

--- a/coordination/register/node_test.go
+++ b/coordination/register/node_test.go
@@ -96,7 +96,7 @@
 	m.cancel()
 	_ = m.server.Close()
 	<-m.ended
-	m.node.writing <- struct{}{} // and keeps it: a process that has ended writes no more
+	m.node.Close(context.Background()) // a process that has ended writes no more
 	m.options.Client.Close()
 	m.cancel = nil
 	m.options.Bootstrap = false
@@ -336,9 +336,16 @@
 // faultyStore refuses while it is full, and holds writers up while it hangs.
 type faultyStore struct {
 	store.Store
-	mu   sync.Mutex
-	full bool
-	hang chan struct{} // closed when the disk goes on
+	mu    sync.Mutex
+	full  bool
+	hang  chan struct{} // closed when the disk goes on
+	saved int           // calls of Save
+}
+
+func (s *faultyStore) saves() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.saved
 }
 
 func (s *faultyStore) set(full bool, hang chan struct{}) {
@@ -350,6 +357,7 @@
 func (s *faultyStore) Save(data []byte) error {
 	s.mu.Lock()
 	full, hang := s.full, s.hang
+	s.saved++
 	s.mu.Unlock()
 	if full {
 		return eris.Wrap(store.ErrFull, "test")
@@ -370,6 +378,33 @@
 	return promise, value
 }
 
+// Close waits for the write in hand, and nothing is written after it: the disk may be another's by then.
+func TestAClosedNodeWritesNothingMore(t *testing.T) {
+	machines := newMachines(t, 3, 3, 3)
+	startAll(machines)
+	ctx := deadline(t)
+	closing := machines[0].node
+	require.NoError(t, closing.WaitFormed(ctx))
+	_, value := machines[0].faulty()
+	hang := make(chan struct{})
+	value.set(false, hang)
+	_, err := machines[1].node.Update(ctx, set("its write hangs at one replica"))
+	require.NoError(t, err)
+
+	brief, cancel := context.WithCancel(ctx)
+	cancel()
+	closing.Close(brief) // does not wait for a hung disk for ever
+
+	close(hang)
+	value.set(false, nil)
+	closing.Close(ctx)
+	before := value.saves()
+	_, err = machines[1].node.Update(ctx, set("after the end"))
+	require.NoError(t, err)
+	require.Equal(t, before, value.saves())
+	<-closing.writing // the machine's own end takes it again
+}
+
 func TestHungDiskHoldsNobodyUp(t *testing.T) {
 	machines := newMachines(t, 3, 3, 3)
 	startAll(machines)
--- a/coordination/register/serve.go
+++ b/coordination/register/serve.go
@@ -107,6 +107,15 @@
 	}
 }
 
+// Close lets the write that is under way end, and no other begins: the process, or a successor on the same disk, may go on without
+// this node. It waits until ctx is done at most, since a disk may hang.
+func (n *Node) Close(ctx context.Context) {
+	select {
+	case n.writing <- struct{}{}:
+	case <-ctx.Done():
+	}
+}
+
 func (n *Node) queueForDisk() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/controller/operator_test.go
+++ b/internal/controller/operator_test.go
@@ -95,6 +95,8 @@
 
 func (f *fakeRegister) SetInDoubt() bool { return false }
 
+func (f *fakeRegister) Close(context.Context) {}
+
 func (f *fakeRegister) WaitFormed(ctx context.Context) error {
 	if f.formed {
 		return nil
--- a/internal/controller/register.go
+++ b/internal/controller/register.go
@@ -18,6 +18,7 @@
 	SetInDoubt() bool
 	WaitFormed(ctx context.Context) error
 	Leave(ctx context.Context) error
+	Close(ctx context.Context)
 	Register(mux *http.ServeMux)
 }
 
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -25,6 +25,8 @@
 	maxHeaderBytes = 16 << 10
 	// releaseTimeout bounds the last heartbeats, which tell the others that this controller's roles are free.
 	releaseTimeout = 300 * time.Millisecond
+	// lastWriteTimeout bounds the wait for a disk as the process ends.
+	lastWriteTimeout = 300 * time.Millisecond
 	// operatorGrace is how long calls of the operator that are in hand may go on after the end was asked for.
 	operatorGrace = 700 * time.Millisecond
 	internalGrace = 100 * time.Millisecond
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -52,9 +52,18 @@
 	serving.shutdown()
 	stop()
 	working.Wait()
+	c.closeRegister()
 	return eris.Wrap(failure, "serve")
 }
 
+// closeRegister waits for the register's write in hand: calls of other controllers may have begun one that their proposer no
+// longer waits for.
+func (c *controller) closeRegister() {
+	ctx, cancel := context.WithTimeout(context.Background(), lastWriteTimeout)
+	defer cancel()
+	c.node.Close(ctx)
+}
+
 func (c *controller) startServers(open listeners) *servers {
 	operator := http.NewServeMux()
 	c.operator.register(operator)
--- a/internal/fleet/evidence.go
+++ b/internal/fleet/evidence.go
@@ -36,7 +36,7 @@
 // evidenceMark is the first byte of its messages; those of budgets begin with a brace.
 const evidenceMark = 'E'
 
-type evidenceLetter struct {
+type evidenceMessage struct {
 	Service string `json:"s"`
 	Zone    string `json:"z,omitempty"`
 	Worker  string `json:"w"`
@@ -92,7 +92,7 @@
 	v.names[service] = names
 	v.mu.Unlock()
 	for _, r := range due {
-		text, _ := json.Marshal(evidenceLetter{service, r.Zone, r.Worker, r.Life, r.Seq, r.Age.Milliseconds(), int(r.Kind)})
+		text, _ := json.Marshal(evidenceMessage{service, r.Zone, r.Worker, r.Life, r.Seq, r.Age.Milliseconds(), int(r.Kind)})
 		link.Spread(service+"/"+r.Worker, append([]byte{evidenceMark}, text...))
 	}
 	return names
@@ -112,7 +112,7 @@
 	if len(data) == 0 || data[0] != evidenceMark {
 		return false, false
 	}
-	var in evidenceLetter
+	var in evidenceMessage
 	err := json.Unmarshal(data[1:], &in)
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -178,7 +178,7 @@
 func (l *Link) passOn(b []byte) {
 	// The key is that of the sender's own: who and what, without the figures.
 	from, data := string(b[2:2+b[1]]), b[2+b[1]:]
-	var in evidenceLetter
+	var in evidenceMessage
 	if len(data) > 0 && json.Unmarshal(data[1:], &in) == nil {
 		l.pass(strings.Join([]string{from, in.Service + "/" + in.Worker}, " "), slices.Clone(b))
 	}
