--- a/internal/placement/prefix.go
+++ b/internal/placement/prefix.go
@@ -47,9 +47,3 @@
 		return w.State != fleetwire.InstanceReady
 	})
 }
-
-// OwnTokens is how many tokens of a prompt no other request shares.
-func OwnTokens(total int, parts []Part) int {
-	_, shared := sharedPrefix(parts)
-	return max(0, total-shared)
-}
--- a/internal/router/generation.go
+++ b/internal/router/generation.go
@@ -65,10 +65,7 @@
 
 // direct reports whether the decode worker is to read the prompt.
 func (q *request) direct() bool {
-	if !q.view.prefill[q.service.Name] || q.prompt.input == 0 {
-		return true
-	}
-	return q.router.options.Direct != nil && q.router.options.Direct(placement.OwnTokens(q.prompt.input, q.prompt.parts))
+	return !q.view.prefill[q.service.Name] || q.prompt.input == 0
 }
 
 // prefill has the prompt read.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -31,9 +31,6 @@
 	Placer Placer
 	Pool   *upstream.Pool
 	Log    *zap.Logger
-	// Direct reports whether a generation skips the prefill worker and has its prompt, of which that many tokens are its own,
-	// read by the decode worker. Nil: never.
-	Direct func(ownTokens int) bool
 	// Distrust is told of workers that enough other routers complain of. Nil: nobody is.
 	Distrust func(workers []string)
 	// Answered is told of the load that a worker states with an answer. Nil: nobody is.
