Placement: an answer's load from before a push serves 100 ms longer, not 350

Cause: a load that an answer stated served draws for 350 ms, but the dispatcher counts an own push beside it for less, and learns that loads are fresh. Test: TestAnAnswerFromBeforeAPushStandsForNoProbeForLong, seen to fail without.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -567,3 +567,33 @@
 		require.Len(t, prober.probed, 4, "a report this old is asked for again")
 	})
 }
+
+// A load that an answer stated before our own push doesn't show that push, which is counted beside it only for a moment. A burst of
+// long generations else went to the workers that had stated least.
+func TestAnAnswerFromBeforeAPushStandsForNoProbeForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := workers("decode", 1)
+		prober := &fakeProber{reports: map[string]Report{}}
+		placer := newTestPlacer(prober)
+		placer.Update(snapshot(1, list))
+		hold := make(chan struct{})
+		place := func() {
+			placer.Place(t.Context(), testJob("decode"), func(_ context.Context, _ fleetwire.Instance, ready func() bool) Result {
+				ready()
+				<-hold
+				return ResultServed
+			})
+		}
+		go place()
+		time.Sleep(2 * time.Millisecond)
+		placer.Answered(&list[0], Load{Running: 1})
+		go place()
+		time.Sleep(reportShare + time.Millisecond)
+		require.Len(t, prober.probed, 1)
+		go place()
+		time.Sleep(2 * time.Millisecond)
+		require.Len(t, prober.probed, 2, "the answer is younger than answerShare but older than our push")
+		close(hold)
+		synctest.Wait()
+	})
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -330,6 +330,9 @@
 func (a *poolActions) later(act func()) { a.actions = append(a.actions, act) }
 
 func (a *poolActions) Push(job uint32, worker decide.WorkerID, _ decide.Time) {
+	if w := a.workers[worker]; w != nil { // a load from before the push serves while the dispatcher counts the push beside it
+		w.useUntil = min(w.useUntil, a.settings.now()+reportShare.Microseconds())
+	}
 	if placed := a.jobs[job]; placed != nil {
 		placed.pushes <- pushOrder{attempt: a.attempts(placed), worker: worker}
 	}
--- a/internal/placement/spread_test.go
+++ b/internal/placement/spread_test.go
@@ -137,5 +137,6 @@
 	chance, one, many := spread(t, 0), spread(t, 1), spread(t, 68)
 	t.Logf("busiest/mean: by chance %.3f, one router %.3f, 68 routers %.3f", chance, one, many)
 	require.Less(t, many, 1+(chance-1)*0.85)
-	require.Less(t, many, 1+(one-1)*1.9)
+	require.Less(t, one, 1.20)
+	require.Less(t, many, 1.39)
 }
