--- a/coordination/rendezvous/rendezvous.go
+++ b/coordination/rendezvous/rendezvous.go
@@ -17,6 +17,21 @@
 	return mix(hash.Sum64())
 }
 
+// First returns the name of a key's first choice among candidates that have names, or "" if there are none. It makes no ranking of
+// them all.
+func First[C any](key string, candidates []C, name func(*C) string) string {
+	var first string
+	var most uint64
+	for i := range candidates {
+		candidate := name(&candidates[i])
+		weight := Weight(key, candidate)
+		if first == "" || weight > most || weight == most && candidate < first {
+			first, most = candidate, weight
+		}
+	}
+	return first
+}
+
 // Rank returns the candidates in the order of choice for a key, each once.
 func Rank(key string, candidates []string) []string {
 	type weighted struct {
--- a/coordination/rendezvous/rendezvous_test.go
+++ b/coordination/rendezvous/rendezvous_test.go
@@ -50,3 +50,13 @@
 		}
 	})
 }
+
+func TestFirstIsTheHeadOfTheRanking(t *testing.T) {
+	itself := func(candidate *string) string { return *candidate }
+	require.Empty(t, First("key", nil, itself))
+	rapid.Check(t, func(t *rapid.T) {
+		key := rapid.String().Draw(t, "key")
+		candidates := rapid.SliceOfN(rapid.StringMatching(`[a-z]{1,8}`), 1, 20).Draw(t, "candidates")
+		require.Equal(t, Rank(key, candidates)[0], First(key, candidates, itself))
+	})
+}
--- a/internal/placement/prefix.go
+++ b/internal/placement/prefix.go
@@ -32,13 +32,7 @@
 	if prefix == "" {
 		return ""
 	}
-	best, bestWeight := "", uint64(0)
-	for i := range workers {
-		if weight := rendezvous.Weight(prefix, workers[i].ID); best == "" || weight > bestWeight {
-			best, bestWeight = workers[i].ID, weight
-		}
-	}
-	return best
+	return rendezvous.First(prefix, workers, func(worker *fleetwire.Instance) string { return worker.ID })
 }
 
 // readyOf returns the workers of a list that take work.
