Controller: the services of listed workers are made once for a list

Each poll that brought observations, and each service with complaints in each answer, built the map of all workers anew under the lock of the list.

--- a/internal/controller/lists.go
+++ b/internal/controller/lists.go
@@ -24,6 +24,7 @@
 	list      []fleetwire.Instance
 	confirmed time.Time             // when the platform last gave this list
 	before    fleetwire.ListVersion // held before the newest
+	byWorker  map[string]string     // the service of each listed worker; nil until it is asked for, and never changed
 }
 
 func newLists(hub *watch.Hub, log *zap.Logger) *lists { return &lists{hub: hub, log: log} }
@@ -99,6 +100,7 @@
 	l.before = l.version
 	l.version = version
 	l.list = list
+	l.byWorker = nil
 	l.confirmed = confirmed
 }
 
@@ -124,15 +126,18 @@
 	return listMessage{Version: l.version, AgeMs: now.Sub(l.confirmed).Milliseconds(), Instances: l.list}
 }
 
-// services tells of which service each listed worker is.
+// services tells of which service each listed worker is. It is made once for a list: polls with observations or doubts ask
+// for it. It must not be changed.
 func (l *lists) services() map[string]string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	services := make(map[string]string, len(l.list))
-	for i := range l.list {
-		services[l.list[i].ID] = l.list[i].Service
+	if l.byWorker == nil {
+		l.byWorker = make(map[string]string, len(l.list))
+		for i := range l.list {
+			l.byWorker[l.list[i].ID] = l.list[i].Service
+		}
 	}
-	return services
+	return l.byWorker
 }
 
 // held returns the version and age of the list; the age is 0 without a list.
