--- a/coordination/register/node.go
+++ b/coordination/register/node.go
@@ -6,12 +6,9 @@
 	"encoding/binary"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/samber/lo"
-
-	"weldscale/coordination/store"
 )
 
 // State is a chosen value, as the users of the register see it. It must not be changed.
@@ -30,7 +27,6 @@
 	writing chan struct{} // holds a token while the disk is in use
 	turn    chan struct{} // holds a token while an own operation runs: a node does not compete with itself
 	ballots *Ballots
-	started time.Time
 	nudge   chan struct{} // wakes the upkeep before its next tick
 
 	mu       sync.Mutex
@@ -45,11 +41,11 @@
 // Open reads the disk. The node answers once it is mounted by Register, and takes part in the set while Run runs.
 func Open(options Options) (*Node, error) {
 	options = options.withDefaults()
-	folder, err := store.OpenFolder(options.Directory)
+	files, err := options.files()
 	if err != nil {
 		return nil, err
 	}
-	disk := NewDisk(folder)
+	disk := NewDisk(files)
 	acceptor, err := disk.Load(options.Address)
 	if err != nil {
 		return nil, eris.Wrap(err, "read the disk")
@@ -60,7 +56,6 @@
 		writing:  make(chan struct{}, 1),
 		turn:     make(chan struct{}, 1),
 		ballots:  NewBallots(randomNumber()),
-		started:  time.Now(),
 		nudge:    make(chan struct{}, 1),
 		acceptor: acceptor,
 		changed:  make(chan struct{}),
--- a/coordination/register/options.go
+++ b/coordination/register/options.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"weldscale/coordination/store"
 	"weldscale/coordination/transport"
 )
 
@@ -21,7 +22,9 @@
 // Options configure a Node.
 type Options struct {
 	Directory string // of the disk
-	Address   string // own internal address, IP:PORT
+	// Files are those of the disk, in place of a Directory; nil: the Directory is opened.
+	Files   store.Files
+	Address string // own internal address, IP:PORT
 	// Founders are the internal addresses of the first replicas. They count only if Bootstrap is true and the disk is empty.
 	Founders  []string
 	Bootstrap bool
@@ -65,3 +68,10 @@
 	}
 	return o
 }
+
+func (o Options) files() (store.Files, error) {
+	if o.Files != nil {
+		return o.Files, nil
+	}
+	return store.OpenFolder(o.Directory)
+}
--- a/coordination/register/peers.go
+++ b/coordination/register/peers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -94,7 +95,11 @@
 	return max(1, now.Sub(p.missedSince))
 }
 
-// QuorumAge returns how long ago a majority of the set was last heard: the age of the question that its answers answered.
+// NeverHeard is the age of a contact that there never was in the life of this process.
+const NeverHeard = time.Duration(math.MaxInt64)
+
+// QuorumAge returns how long ago a majority of the set was last heard: the age of the question that its answers answered. It is
+// NeverHeard until a majority has answered this process.
 func (n *Node) QuorumAge() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -112,7 +117,7 @@
 
 func (n *Node) majorityAge(replicas []Replica, now time.Time) time.Duration {
 	if len(replicas) == 0 {
-		return now.Sub(n.started)
+		return NeverHeard
 	}
 	ages := lo.Map(replicas, func(replica Replica, _ int) time.Duration { return n.age(replica, now) })
 	slices.SortFunc(ages, cmp.Compare[time.Duration])
@@ -125,7 +130,7 @@
 	}
 	p := n.peers[replica.Address]
 	if p == nil || p.id != replica.ID || p.answered.IsZero() {
-		return now.Sub(n.started)
+		return NeverHeard
 	}
 	return now.Sub(p.answered)
 }
--- a/coordination/sim/disk.go
+++ b/coordination/sim/disk.go
@@ -30,7 +30,7 @@
 }
 
 func newDisk(world *World) *Disk {
-	return &Disk{world: world, files: newFiles(world), Shortest: DefaultShortestJob, Longest: DefaultLongestJob}
+	return &Disk{world: world, files: NewFiles(world), Shortest: DefaultShortestJob, Longest: DefaultLongestJob}
 }
 
 // Files returns the files for use at once, as at the start of a program.
@@ -90,8 +90,5 @@
 	current := d.jobs[0]
 	d.jobs = nil
 	d.busy = false
-	d.files.stepsLeft = d.world.IntN(maxPartialSteps)
-	d.files.limited = true
-	_ = current.work(d.files)
-	d.files.limited = false
+	_ = d.files.Partly(d.world.IntN(maxPartialSteps), current.work)
 }
--- a/coordination/sim/files.go
+++ b/coordination/sim/files.go
@@ -38,7 +38,8 @@
 	before []byte // the last synced data
 }
 
-func newFiles(world *World) *Files {
+// NewFiles returns an empty folder, for which the world draws what a loss of power leaves.
+func NewFiles(world *World) *Files {
 	return &Files{world: world, names: map[string]*content{}, durable: map[string]*content{}}
 }
 
@@ -124,6 +125,13 @@
 	return nil
 }
 
+// Partly does some steps of a piece of work, as a process does that ends in the middle of it.
+func (f *Files) Partly(steps int, work func(files *Files) error) error {
+	f.limited, f.stepsLeft = true, steps
+	defer func() { f.limited = false }()
+	return work(f)
+}
+
 // step reports whether the process can do one more step.
 func (f *Files) step() bool {
 	if !f.limited {
@@ -142,9 +150,19 @@
 	return false
 }
 
-// losePower leaves of each file, on its own, the names that it had at the last Sync or those that it had at the end, and of
+// Clone returns a copy of the folder as programs see it.
+func (f *Files) Clone() *Files {
+	cloned := NewFiles(f.world)
+	for name, file := range f.names {
+		cloned.names[name] = &content{data: bytes.Clone(file.data), synced: true, before: bytes.Clone(file.data)}
+	}
+	cloned.durable = maps.Clone(cloned.names)
+	return cloned
+}
+
+// LosePower leaves of each file, on its own, the names that it had at the last Sync or those that it had at the end, and of
 // unsynced content anything between what was there before and all of it.
-func (f *Files) losePower() {
+func (f *Files) LosePower() {
 	kept := map[string]*content{}
 	atTheEnd := map[*content]bool{}
 	for _, side := range []map[string]*content{f.durable, f.names} {
--- a/coordination/sim/machine.go
+++ b/coordination/sim/machine.go
@@ -64,7 +64,7 @@
 // LosePower ends the program, and what was not synced may be lost or torn.
 func (m *Machine) LosePower() {
 	m.Kill()
-	m.disk.files.losePower()
+	m.disk.files.LosePower()
 }
 
 // Wipe ends the program and replaces the disk by an empty one, without its former troubles.
--- a/coordination/systemtest/node_test.go
+++ b/coordination/systemtest/node_test.go
@@ -41,7 +41,6 @@
 	disk    register.Disk
 	number  uint64 // of this life as a proposer
 	ballots *register.Ballots
-	started time.Duration
 
 	acceptor *register.Acceptor // nil until the disk has an identity
 	waiting  []func()           // requests that wait for the disk
@@ -83,7 +82,6 @@
 		disk:    register.NewDisk(process.Disk().Files()),
 		number:  number,
 		ballots: register.NewBallots(number),
-		started: process.Steady(),
 		peers:   map[string]*peer{},
 	}
 	return n
@@ -392,7 +390,7 @@
 
 func (n *node) majorityAge(replicas []register.Replica) time.Duration {
 	if len(replicas) == 0 {
-		return n.process.Steady() - n.started
+		return register.NeverHeard
 	}
 	ages := lo.Map(replicas, func(replica register.Replica, _ int) time.Duration { return n.age(replica) })
 	slices.SortFunc(ages, cmp.Compare[time.Duration])
@@ -405,7 +403,7 @@
 	}
 	p := n.peers[replica.Address]
 	if p == nil || p.id != replica.ID || !p.heard {
-		return n.process.Steady() - n.started
+		return register.NeverHeard
 	}
 	return n.process.Steady() - p.answered
 }
--- a/coordination/transport/transport.go
+++ b/coordination/transport/transport.go
@@ -35,16 +35,28 @@
 // Dial opens a connection, as net.Dialer.DialContext does.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-// NewClient returns a client with its own connections.
-func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	return NewClientDialing(dialer.DialContext)
+// TCP returns a Dial over TCP without keep-alive probes, which cost wake-ups: calls have deadlines of their own.
+func TCP() Dial {
+	dialer := &net.Dialer{KeepAlive: -1}
+	return dialer.DialContext
+}
+
+// Within returns a Dial that gives up after a time. net/http does not end the opening of a connection with its request.
+func (d Dial) Within(timeout time.Duration) Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return d(ctx, network, address)
+	}
 }
 
+// NewClient returns a client with its own connections.
+func NewClient() *Client { return NewClientDialing(TCP()) }
+
 // NewClientDialing returns a client whose connections a function opens.
 func NewClientDialing(dial Dial) *Client {
 	return &Client{http: &http.Transport{
-		DialContext:         dial,
+		DialContext:         dial.Within(dialTimeout),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idleConnsPerAddress,
 		IdleConnTimeout:     idleTimeout,
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -146,7 +146,7 @@
 }
 
 func (f *fleet) start(i int) {
-	process, err := open(f.t.Context(), f.settings[i], zap.NewNop())
+	process, err := open(f.t.Context(), f.settings[i], hostOf(f.settings[i]), zap.NewNop())
 	require.NoError(f.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	started := &runningController{process: process, cancel: cancel, ended: make(chan error, 1)}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"weldscale/coordination/lease"
+	"weldscale/coordination/register"
 	"weldscale/coordination/transport"
 	"weldscale/coordination/watch"
 	"weldscale/internal/fleetwire"
@@ -48,6 +49,7 @@
 	beatNow   chan struct{}
 	fetching  atomic.Bool
 	catching  atomic.Bool
+	synced    atomic.Bool // the register was read since the start
 
 	publishing sync.Mutex
 	revision   uint64 // of the newest state that was published
@@ -55,7 +57,8 @@
 }
 
 func newController(
-	ctx context.Context, latest *atomic.Pointer[settings.Settings], node stateRegister, client *transport.Client, log *zap.Logger,
+	ctx context.Context, latest *atomic.Pointer[settings.Settings], node stateRegister, client *transport.Client, dial transport.Dial,
+	log *zap.Logger,
 ) *controller {
 	current := latest.Load()
 	c := &controller{
@@ -72,13 +75,13 @@
 	}
 	c.roster = newRoster(c.self.Address, current.SeedInternalAddresses())
 	c.hub = watch.NewHub(watch.HubOptions{
-		QuorumAge: node.QuorumAge, MaxQuorumAge: maxQuorumAge, Seen: c.sawWatcher, Doubts: c.doubts,
+		QuorumAge: c.watchAge, MaxQuorumAge: maxQuorumAge, Seen: c.sawWatcher, Doubts: c.doubts,
 	})
 	c.leases = newLeases(c.self, current.Bootstrap)
 	c.voices = newVoices(c.leases.started)
 	c.settledAt = c.leases.started.Add(settleTime)
 	c.lists = newLists(c.hub, log)
-	reader := instances.NewReader(func() string { return latest.Load().Cloud.Address })
+	reader := instances.NewReaderDialing(func() string { return latest.Load().Cloud.Address }, dial)
 	c.poller = instances.NewPoller(reader, c.mayRead, c.listRead(ctx), log)
 	c.keeper = stages.NewKeeper(stages.Options{
 		Holder: current.NodeName,
@@ -86,6 +89,7 @@
 		Fleet:  c.knownFleet,
 		Quiet:  current.Bounds.Lease() + current.Bounds.Thaw(),
 		Fresh:  current.Bootstrap,
+		Dial:   dial,
 		Log:    log,
 	})
 	return c
@@ -101,6 +105,15 @@
 	}
 }
 
+// watchAge is the age of the contact with a majority that watchers are told. Before the first read of the register there is
+// none: this controller may have heard the others, but it knows nothing of what they hold.
+func (c *controller) watchAge() time.Duration {
+	if !c.synced.Load() {
+		return register.NeverHeard
+	}
+	return c.node.QuorumAge()
+}
+
 // doubts is what a watcher is told of workers that the routers of its zone complain of.
 func (c *controller) doubts(request *fleetwire.WatchRequest) []fleetwire.Doubt {
 	zones := max(1, len(c.settings.Load().Zones))
--- a/internal/controller/publish.go
+++ b/internal/controller/publish.go
@@ -38,6 +38,7 @@
 		if err == nil {
 			c.publish(state)
 			c.leases.with(func(decider *lease.Decider, _ time.Duration) { decider.Synced() })
+			c.synced.Store(true)
 			return
 		}
 		if !pause(ctx, syncPause) {
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"weldscale/coordination/register"
+	"weldscale/coordination/store"
 	"weldscale/coordination/transport"
 	"weldscale/internal/settings"
 )
@@ -40,7 +41,7 @@
 	if err := current.CheckControl(); err != nil {
 		return eris.Wrap(err, "settings")
 	}
-	opened, err := open(ctx, current, log)
+	opened, err := open(ctx, current, hostOf(current), log)
 	if err != nil {
 		return err
 	}
@@ -57,15 +58,33 @@
 	stop       context.CancelFunc // ends all parts at once
 }
 
-func open(ctx context.Context, current *settings.Settings, log *zap.Logger) (*process, error) {
-	opened, err := listen(current)
+// host is what a controller uses of its machine.
+type host struct {
+	listen func(address string) (net.Listener, error)
+	dial   transport.Dial
+	files  func() (store.Files, error) // of the register
+}
+
+// hostOf returns the machine that the process runs on.
+func hostOf(current *settings.Settings) host {
+	return host{
+		listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		dial:   transport.TCP(),
+		files: func() (store.Files, error) {
+			return store.OpenFolder(filepath.Join(current.DataDir, registerDirectory))
+		},
+	}
+}
+
+func open(ctx context.Context, current *settings.Settings, on host, log *zap.Logger) (*process, error) {
+	opened, err := listen(current, on.listen)
 	if err != nil {
 		return nil, err
 	}
 	var latest atomic.Pointer[settings.Settings]
 	latest.Store(current)
-	client := transport.NewClient()
-	node, err := register.Open(registerOptions(&latest, client, log))
+	client := transport.NewClientDialing(on.dial)
+	node, err := openRegister(&latest, on, client, log)
 	if err != nil {
 		opened.close()
 		return nil, eris.Wrap(err, "open the register")
@@ -73,7 +92,7 @@
 	// The parts outlive ctx: calls in hand are answered and roles are given up first.
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	return &process{
-		controller: newController(running, &latest, node, client, log),
+		controller: newController(running, &latest, node, client, on.dial, log),
 		node:       node,
 		client:     client,
 		listeners:  opened,
@@ -87,12 +106,12 @@
 	return p.controller.serve(ctx, p.stop, p.listeners, append(parts, p.node.Run)...)
 }
 
-func listen(current *settings.Settings) (listeners, error) {
-	internal, err := net.Listen("tcp", current.InternalAddress())
+func listen(current *settings.Settings, open func(address string) (net.Listener, error)) (listeners, error) {
+	internal, err := open(current.InternalAddress())
 	if err != nil {
 		return listeners{}, eris.Wrap(err, "listen for the fleet")
 	}
-	control, err := net.Listen("tcp", current.Listen.Control)
+	control, err := open(current.Listen.Control)
 	if err != nil {
 		_ = internal.Close()
 		return listeners{}, eris.Wrap(err, "listen for the operator")
@@ -100,10 +119,22 @@
 	return listeners{internal: internal, control: control}, nil
 }
 
-func registerOptions(latest *atomic.Pointer[settings.Settings], client *transport.Client, log *zap.Logger) register.Options {
+func openRegister(
+	latest *atomic.Pointer[settings.Settings], on host, client *transport.Client, log *zap.Logger,
+) (*register.Node, error) {
+	files, err := on.files()
+	if err != nil {
+		return nil, err
+	}
+	return register.Open(registerOptions(latest, files, client, log))
+}
+
+func registerOptions(
+	latest *atomic.Pointer[settings.Settings], files store.Files, client *transport.Client, log *zap.Logger,
+) register.Options {
 	current := latest.Load()
 	return register.Options{
-		Directory:      filepath.Join(current.DataDir, registerDirectory),
+		Files:          files,
 		Address:        current.InternalAddress(),
 		Founders:       current.SeedInternalAddresses(),
 		Bootstrap:      current.Bootstrap,
--- a/internal/instances/reader.go
+++ b/internal/instances/reader.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"weldscale/coordination/transport"
 	"weldscale/internal/fleetwire"
 )
 
@@ -37,10 +37,12 @@
 }
 
 // NewReader returns a reader of the platform at the address (IP:PORT) that the function gives at each reading.
-func NewReader(address func() string) *Reader {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+func NewReader(address func() string) *Reader { return NewReaderDialing(address, transport.TCP()) }
+
+// NewReaderDialing returns a reader whose connections a function opens.
+func NewReaderDialing(address func() string, dial transport.Dial) *Reader {
 	return &Reader{address: address, http: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial.Within(dialTimeout),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     idleTimeout,
--- a/internal/placement/probe.go
+++ b/internal/placement/probe.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"weldscale/coordination/transport"
 	"weldscale/internal/fleetwire"
 )
 
@@ -49,10 +49,12 @@
 type httpProber struct{ transport *http.Transport }
 
 // NewHTTPProber returns a prober over net/http.
-func NewHTTPProber() Prober {
-	dialer := &net.Dialer{Timeout: probeTimeout, KeepAlive: -1}
+func NewHTTPProber() Prober { return NewHTTPProberDialing(transport.TCP()) }
+
+// NewHTTPProberDialing returns a prober over net/http whose connections a function opens.
+func NewHTTPProberDialing(dial transport.Dial) Prober {
 	return &httpProber{transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial.Within(probeTimeout),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: probeConnections,
 		IdleConnTimeout:     30 * time.Second,
--- a/internal/stages/keeper.go
+++ b/internal/stages/keeper.go
@@ -5,13 +5,13 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"weldscale/coordination/transport"
 	"weldscale/internal/fleetwire"
 	"weldscale/internal/placement"
 )
@@ -39,6 +39,7 @@
 	Lease  Lease
 	Fleet  func() Fleet
 	Prober placement.Prober // nil: by HTTP
+	Dial   transport.Dial   // opens the connections to workers; nil: by TCP
 	// Quiet is how long a new holder waits before its first order: what the former one has sent must have arrived long before.
 	Quiet time.Duration
 	// Fresh says that no one can have sent an order before: the whole system starts for the first time.
@@ -57,13 +58,16 @@
 
 // NewKeeper returns a keeper.
 func NewKeeper(options Options) *Keeper {
+	if options.Dial == nil {
+		options.Dial = transport.TCP()
+	}
 	if options.Prober == nil {
-		options.Prober = placement.NewHTTPProber()
+		options.Prober = placement.NewHTTPProberDialing(options.Dial)
 	}
-	dialer := &net.Dialer{Timeout: orderTimeout, KeepAlive: -1}
+	dial := options.Dial.Within(orderTimeout)
 	return &Keeper{
 		options:   options,
-		transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
+		transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
 		engines:   map[string]*engine{},
 	}
 }
