--- a/coordination/sim/live/conn.go
+++ b/coordination/sim/live/conn.go
@@ -201,9 +201,13 @@
 
 // deliver has all that was sent arrive, if anything gets through. Heal calls resume for the rest.
 func (h *half) deliver() {
-	if open, _ := h.network.open(h.way); h.arrive(open) {
+	open, _ := h.network.open(h.way)
+	if h.arrive(open) {
 		h.network.forget(h)
 	}
+	if open {
+		h.network.stepped()
+	}
 }
 
 // arrive reports whether nothing more will come.
--- a/coordination/sim/live/disk.go
+++ b/coordination/sim/live/disk.go
@@ -26,6 +26,7 @@
 	mutex   sync.Mutex
 	random  *rand.Rand
 	files   *sim.Files
+	stepped func() // is told of each change
 	current *Files // of the process that runs
 	slow    time.Duration
 	// underWay is the step that the present process waits for: its end may leave it done in part.
@@ -33,8 +34,8 @@
 	resumed  chan struct{} // nil while the disk answers; else closed when it does again
 }
 
-func newDisk(seed uint64) *Disk {
-	return &Disk{random: rand.New(rand.NewPCG(seed, 2)), files: sim.NewFiles(sim.New(seed))}
+func newDisk(seed uint64, stepped func()) *Disk {
+	return &Disk{stepped: stepped, random: rand.New(rand.NewPCG(seed, 2)), files: sim.NewFiles(sim.New(seed))}
 }
 
 // Full makes each write fail for want of room, until it is called with false.
@@ -169,6 +170,12 @@
 	return work(f.disk.files)
 }
 
+// change is a step that changes the disk.
+func (f *Files) change(work func(files *sim.Files) error) error {
+	defer f.disk.stepped()
+	return f.step(work)
+}
+
 // List implements store.Files.
 func (f *Files) List() (names []string, err error) {
 	err = f.step(func(files *sim.Files) (err error) {
@@ -189,20 +196,20 @@
 
 // Write implements store.Files.
 func (f *Files) Write(name string, parts ...[]byte) error {
-	return f.step(func(files *sim.Files) error { return files.Write(name, parts...) })
+	return f.change(func(files *sim.Files) error { return files.Write(name, parts...) })
 }
 
 // Rename implements store.Files.
 func (f *Files) Rename(from, to string) error {
-	return f.step(func(files *sim.Files) error { return files.Rename(from, to) })
+	return f.change(func(files *sim.Files) error { return files.Rename(from, to) })
 }
 
 // Remove implements store.Files.
 func (f *Files) Remove(name string) error {
-	return f.step(func(files *sim.Files) error { return files.Remove(name) })
+	return f.change(func(files *sim.Files) error { return files.Remove(name) })
 }
 
 // Sync implements store.Files.
 func (f *Files) Sync() error {
-	return f.step(func(files *sim.Files) error { return files.Sync() })
+	return f.change(func(files *sim.Files) error { return files.Sync() })
 }
--- a/coordination/sim/live/machine.go
+++ b/coordination/sim/live/machine.go
@@ -23,7 +23,7 @@
 func (n *Network) AddMachine(ip string) *Machine {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	machine := &Machine{network: n, ip: ip, disk: newDisk(n.random.Uint64())}
+	machine := &Machine{network: n, ip: ip, disk: newDisk(n.random.Uint64(), n.stepped)}
 	n.machines[ip] = machine
 	return machine
 }
--- a/coordination/sim/live/network.go
+++ b/coordination/sim/live/network.go
@@ -30,6 +30,8 @@
 	slowness map[direction]time.Duration
 	healed   chan struct{} // closed when a cut ends
 	halves   map[*half]struct{}
+	stepsTo  int    // steps until awaited is called; 0: nothing is
+	awaited  func() // what happens then
 }
 
 // NewNetwork returns a network without machines.
@@ -84,6 +86,26 @@
 	n.slowness[direction{from, to}] = by
 }
 
+// AfterSteps has an act done after so many more steps of the machines, in a goroutine of its own. A step is an arrival of bytes at
+// another machine or a change of a disk.
+func (n *Network) AfterSteps(count int, act func()) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.stepsTo, n.awaited = count, act
+}
+
+// stepped counts a step.
+func (n *Network) stepped() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.stepsTo == 0 {
+		return
+	}
+	if n.stepsTo--; n.stepsTo == 0 {
+		go n.awaited()
+	}
+}
+
 // open reports whether anything gets through, and else a channel that is closed when a cut ends.
 func (n *Network) open(way direction) (bool, <-chan struct{}) {
 	n.mutex.Lock()
