--- a/internal/controller/simulation_site_test.go
+++ b/internal/controller/simulation_site_test.go
@@ -28,23 +28,42 @@
 
 // Addresses of a simulated site.
 const (
-	simControlPort  = "7000"
-	simInternalPort = 8000
-	simPlatform     = "10.8.0.1"
-	simOperators    = "10.7.0.1"
-	simService      = "engine"
-	simWorkers      = 6
-	simSeeds        = 3
+	simControlPort = "7000"
+	simPlatform    = "10.8.0.1"
+	simOperators   = "10.7.0.1"
+	simService     = "engine"
+	simWorkers     = 6
+	simSeeds       = 3
 )
 
+var simInternalPorts = [2]int{8000, 8001}
+
+// simSeedLag is how much later than the machines the list of seeds is.
+const simSeedLag = 3 * time.Second
+
+// seeds returns the control addresses that a settings file names now: those of the oldest core machines, as they were a while ago.
+func (s *simSite) seeds() []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var seeds []string
+	for _, m := range s.cores {
+		if gone := m.removed && time.Since(m.removedAt) > simSeedLag; !gone && len(seeds) < simSeeds {
+			seeds = append(seeds, m.settings.Listen.Control)
+		}
+	}
+	return seeds
+}
+
 // simMachine is a machine of the simulated site, with the program that runs on it.
 type simMachine struct {
 	machine  *live.Machine
 	settings settings.Settings
 	removed  bool
-	life     atomic.Pointer[simLife] // of the program of a core machine; nil while none runs
-	follower atomic.Pointer[watch.Follower]
-	crash    context.CancelFunc // of the follower of a frontend
+	// removedAt is when it was removed for good.
+	removedAt time.Time
+	life      atomic.Pointer[simLife] // of the program of a core machine; nil while none runs
+	follower  atomic.Pointer[watch.Follower]
+	crash     context.CancelFunc // of the follower of a frontend
 }
 
 // simLife is one life of the program of a core machine.
@@ -157,18 +176,13 @@
 func (s *simSite) addCore(bootstrap bool) *simMachine {
 	ip := simCoreIP(len(s.cores))
 	added := &simMachine{machine: s.network.AddMachine(ip)}
-	var seeds []string
-	for i := range simSeeds {
-		seeds = append(seeds, net.JoinHostPort(simCoreIP(i), simControlPort))
-	}
 	added.settings = settings.Settings{
 		NodeName:       fmt.Sprintf("core-%d", len(s.cores)),
 		IP:             ip,
 		Zone:           "z",
 		Zones:          map[string]string{"z": ""},
 		Listen:         settings.Listen{Control: net.JoinHostPort(ip, simControlPort)},
-		InternalPorts:  [2]int{simInternalPort, simInternalPort + 1},
-		Seeds:          seeds,
+		InternalPorts:  simInternalPorts,
 		Bootstrap:      bootstrap,
 		FaultTolerance: settings.FaultTolerance{Machines: s.tolerance},
 		Bounds:         settings.DefaultBounds(),
@@ -192,6 +206,7 @@
 	life.signal = signal
 	life.crashed, life.crash = context.WithCancel(context.Background())
 	m.life.Store(life)
+	m.settings.Seeds = s.seeds()
 	current := m.settings
 	m.settings.Bootstrap = false
 	s.running.Go(func() { s.runCore(signalled, m, life, &current) })
@@ -262,9 +277,11 @@
 	client := transport.NewClientDialing(life.Dial)
 	var last fleetwire.Version
 	follower := watch.NewFollower(watch.FollowerOptions{
-		Self:    fleetwire.Member{Name: m.machine.IP(), Address: m.machine.IP() + ":1", Role: fleetwire.RoleAgent, Zone: "z"},
-		Sources: func() []string { return s.cores[0].settings.SeedInternalAddresses() },
-		Client:  client,
+		Self: fleetwire.Member{Name: m.machine.IP(), Address: m.machine.IP() + ":1", Role: fleetwire.RoleAgent, Zone: "z"},
+		Sources: func() []string {
+			return (&settings.Settings{Seeds: s.seeds(), InternalPorts: simInternalPorts}).SeedInternalAddresses()
+		},
+		Client: client,
 		OnChange: func(snapshot *watch.Snapshot) {
 			s.checks.followed(m.machine.IP(), last, snapshot)
 			last = snapshot.Version
--- a/internal/controller/simulation_troubles_test.go
+++ b/internal/controller/simulation_troubles_test.go
@@ -286,6 +286,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	m.removed = true
+	m.removedAt = time.Now()
 }
 
 func (s *simSite) restart(hit *simMachine) func() {
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -151,6 +151,15 @@
 
 // rawWorker adds a stand-in that speaks bytes: serve gets each connection with its requests.
 func (f *fixture) rawWorker(stage string, serve func(conn net.Conn, next func() *http.Request)) string {
+	f.t.Helper()
+	return f.rawConn(stage, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		serve(conn, func() *http.Request { return readRequest(reader) })
+	})
+}
+
+// rawConn adds a stand-in that gets each connection, which is closed after it.
+func (f *fixture) rawConn(stage string, serve func(conn net.Conn)) string {
 	f.t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(f.t, err)
@@ -163,15 +172,7 @@
 			}
 			go func() {
 				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				serve(conn, func() *http.Request {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return nil
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					return request
-				})
+				serve(conn)
 			}()
 		}
 	}()
