--- a/internal/controller/simulation_scenes_test.go
+++ b/internal/controller/simulation_scenes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -63,7 +64,8 @@
 		"hears nobody": (*simSite).cutInbound, "nobody hears it": (*simSite).cutOutbound,
 	} {
 		for _, tolerance := range []int{1, 2} {
-			t.Run(name, func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s/%d", name, 2*tolerance+1), func(t *testing.T) {
+				t.Parallel()
 				simScene(t, tolerance, func(s *simSite, operator *simOperator) {
 					for _, hit := range s.present() {
 						heal := cut(s, hit)
@@ -106,6 +108,7 @@
 
 // Two operators race for each version, lose most answers and send again what they can, also when newer versions stand on top.
 func TestTwoOperatorsNeverShareANumber(t *testing.T) {
+	t.Parallel()
 	const rounds = 60
 	for _, tolerance := range []int{1, 2} {
 		simScene(t, tolerance, func(s *simSite, first *simOperator) {
@@ -161,6 +164,7 @@
 // A replica misses all changes behind a cut, and nothing is changed after it: its disk has to get them all the same, since the next
 // loss may come then.
 func TestAReplicaThatMissedChangesHasThemOnItsDisk(t *testing.T) {
+	t.Parallel()
 	for _, tolerance := range []int{1, 2} {
 		simScene(t, tolerance, func(s *simSite, operator *simOperator) {
 			hit := s.present()[0]
@@ -179,6 +183,7 @@
 // Hundreds of changes pass while one machine is without power and another is restarted in the middle. Both catch up within the
 // bound, and what is kept does not grow with the number of changes.
 func TestHundredsOfChangesPassAMachineBy(t *testing.T) {
+	t.Parallel()
 	const changes = 500
 	simScene(t, 1, func(s *simSite, operator *simOperator) {
 		away, restarted := s.present()[1], s.present()[2]
