Controller: an order whose body came too slowly is answered 408, not 400

Cause: a 400 ends an order for good, and a body that does not come whole within the time was answered so, though its path may have been at fault. Change: 408 there, after which operators go to another controller. TestAnOrderThatCameTooSlowlyIsNotRefused failed before (400).

--- a/internal/controller/operator.go
+++ b/internal/controller/operator.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -83,8 +84,11 @@
 
 func bodyStatus(err error) int {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout // the path may be at fault, and another controller's good
 	}
 	return http.StatusBadRequest
 }
--- a/internal/controller/operator_test.go
+++ b/internal/controller/operator_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -149,6 +150,22 @@
 	return recorder
 }
 
+// lateBody is the body of an order whose rest did not come in time.
+type lateBody struct{}
+
+func (lateBody) Read([]byte) (int, error) { return 0, os.ErrDeadlineExceeded }
+
+// An order that came too slowly, over a path in trouble, is not a wrong one: its operator has to go to another controller with it.
+func TestAnOrderThatCameTooSlowlyIsNotRefused(t *testing.T) {
+	mux := http.NewServeMux()
+	newOperatorAPI(newFakeRegister(), zap.NewNop()).register(mux)
+	request := httptest.NewRequest(http.MethodPost, pathReplace, lateBody{})
+	request.Header.Set(headerBase, "0")
+	recorder := httptest.NewRecorder()
+	mux.ServeHTTP(recorder, request)
+	require.Equal(t, http.StatusRequestTimeout, recorder.Code)
+}
+
 func get(node stateRegister) *httptest.ResponseRecorder {
 	mux := http.NewServeMux()
 	newOperatorAPI(node, zap.NewNop()).register(mux)
