Controller and agent: names of the field for what routers report of workers

Change: voices are reports, hearsay is evidence, complaining about unanswered changes is logging them. The name on the wire stays. No behaviour changes.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -38,7 +38,7 @@
 	log      *zap.Logger
 	client   *transport.Client
 	hub      *watch.Hub
-	hearsay  hearsay
+	evidence evidence
 	follower *watch.Follower
 	polled   atomic.Pointer[time.Time] // when the router polled last
 }
@@ -66,15 +66,15 @@
 		QuorumAge:    func() time.Duration { return agent.follower.QuorumAge() },
 		MaxQuorumAge: watch.RelayMaxQuorumAge,
 		Seen:         agent.sawPoll,
-		Doubts:       func(*fleetwire.WatchRequest) []fleetwire.Doubt { return agent.hearsay.doubts(time.Now()) },
+		Doubts:       func(*fleetwire.WatchRequest) []fleetwire.Doubt { return agent.evidence.doubts(time.Now()) },
 	})
 	agent.follower = watch.NewFollower(watch.FollowerOptions{
 		Self:     self(current),
 		Sources:  func() []string { return agent.settings.Load().SeedInternalAddresses() },
 		Client:   agent.client,
 		Relay:    agent.hub,
-		Hint:     func(request *fleetwire.WatchRequest) { request.Observations = agent.hearsay.take() },
-		OnDoubts: func(doubts []fleetwire.Doubt) { agent.hearsay.told(time.Now(), doubts) },
+		Hint:     func(request *fleetwire.WatchRequest) { request.Observations = agent.evidence.take() },
+		OnDoubts: func(doubts []fleetwire.Doubt) { agent.evidence.told(time.Now(), doubts) },
 		Log:      log,
 	})
 	return agent
@@ -123,7 +123,7 @@
 func (a *Agent) sawPoll(request *fleetwire.WatchRequest) {
 	now := time.Now()
 	a.polled.Store(&now)
-	a.hearsay.seen(request.Observations)
+	a.evidence.seen(request.Observations)
 }
 
 // linger returns once the router has stopped polling, or the grace is nearly over.
--- a/internal/agent/hearsay.go
+++ b/internal/agent/evidence.go
@@ -14,8 +14,8 @@
 	mostObservations = 128
 )
 
-// hearsay passes on what the router saw of workers, and what the controllers say of them.
-type hearsay struct {
+// evidence passes on what the router saw of workers, and what the controllers say of them.
+type evidence struct {
 	mutex    sync.Mutex
 	waiting  []fleetwire.Observation
 	doubted  []fleetwire.Doubt
@@ -23,7 +23,7 @@
 }
 
 // seen takes the router's observations.
-func (h *hearsay) seen(observations []fleetwire.Observation) {
+func (h *evidence) seen(observations []fleetwire.Observation) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	room := max(0, mostObservations-len(h.waiting))
@@ -31,7 +31,7 @@
 }
 
 // take returns what waits to be passed on.
-func (h *hearsay) take() []fleetwire.Observation {
+func (h *evidence) take() []fleetwire.Observation {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	waiting := h.waiting
@@ -40,14 +40,14 @@
 }
 
 // told takes a controller's doubts.
-func (h *hearsay) told(now time.Time, doubts []fleetwire.Doubt) {
+func (h *evidence) told(now time.Time, doubts []fleetwire.Doubt) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.doubted, h.answered = doubts, now
 }
 
 // doubts returns the newest doubts, none if they are old.
-func (h *hearsay) doubts(now time.Time) []fleetwire.Doubt {
+func (h *evidence) doubts(now time.Time) []fleetwire.Doubt {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if now.Sub(h.answered) > doubtsKept {
--- a/internal/agent/hearsay_test.go
+++ b/internal/agent/evidence_test.go
@@ -9,8 +9,8 @@
 	"weldscale/internal/fleetwire"
 )
 
-func TestHearsayPassesEachObservationOnOnce(t *testing.T) {
-	var h hearsay
+func TestEvidencePassesEachObservationOnOnce(t *testing.T) {
+	var h evidence
 	h.seen([]fleetwire.Observation{{Worker: "a"}})
 	h.seen([]fleetwire.Observation{{Worker: "b"}})
 	require.Len(t, h.take(), 2)
@@ -20,7 +20,7 @@
 }
 
 func TestDoubtsEndWhenTheControllersAreNotHeard(t *testing.T) {
-	var h hearsay
+	var h evidence
 	now := time.Now()
 	doubts := []fleetwire.Doubt{{Worker: "a", Avoid: true}}
 	require.Empty(t, h.doubts(now))
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -40,7 +40,7 @@
 	hints    *hints
 	roster   *roster
 	census   *census
-	voices   *voices
+	reports  *reports
 	poller   *instances.Poller
 	keeper   *stages.Keeper
 
@@ -78,7 +78,7 @@
 		QuorumAge: c.watchAge, MaxQuorumAge: maxQuorumAge, Seen: c.sawWatcher, Doubts: c.doubts,
 	})
 	c.leases = newLeases(c.self, current.Bootstrap)
-	c.voices = newVoices(c.leases.started)
+	c.reports = newReports(c.leases.started)
 	c.settledAt = c.leases.started.Add(settleTime)
 	c.lists = newLists(c.hub, log)
 	reader := instances.NewReaderDialing(func() string { return latest.Load().Cloud.Address }, dial)
@@ -101,7 +101,7 @@
 		c.census.saw(time.Now(), request.Member.Name)
 	}
 	if len(request.Observations) > 0 {
-		c.voices.heard(request.Member, request.Observations, c.lists.services())
+		c.reports.heard(request.Member, request.Observations, c.lists.services())
 	}
 }
 
@@ -117,7 +117,7 @@
 // doubts is what a watcher is told of workers that the routers of its zone complain of.
 func (c *controller) doubts(request *fleetwire.WatchRequest) []fleetwire.Doubt {
 	zones := max(1, len(c.settings.Load().Zones))
-	return c.voices.doubts(request.Member.Zone, c.lists.services, c.routers(time.Now())/zones)
+	return c.reports.doubts(request.Member.Zone, c.lists.services, c.routers(time.Now())/zones)
 }
 
 // routers is the number of live routers, or 0 while it is not known.
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -105,7 +105,7 @@
 		List:      version,
 		ListAgeMs: age,
 		Routers:   c.census.seenHere(now),
-		Voices:    c.voices.passOn(),
+		Reports:   c.reports.passOn(),
 	}
 }
 
@@ -114,8 +114,8 @@
 	now := time.Now()
 	c.roster.heard(now, address)
 	c.census.told(now, told.Routers)
-	if len(told.Voices) > 0 {
-		c.voices.told(told.Voices, c.lists.services())
+	if len(told.Reports) > 0 {
+		c.reports.told(told.Reports, c.lists.services())
 	}
 	if c.lists.told(now, told.List, told.ListAgeMs) {
 		c.fetchList(c.ctx, address)
--- a/internal/controller/messages.go
+++ b/internal/controller/messages.go
@@ -18,8 +18,8 @@
 	List      fleetwire.ListVersion
 	ListAgeMs int64
 	Routers   []uint32 // hashes of the names of watchers seen lately
-	// Voices are what routers told this controller of workers lately.
-	Voices []voice
+	// Reports are what routers told this controller of workers lately.
+	Reports []report `msgpack:"Voices"` // the name on the wire is older
 }
 
 type heartbeat struct {
--- a/internal/controller/operator.go
+++ b/internal/controller/operator.go
@@ -34,9 +34,9 @@
 	// call.
 	formingTimeout     = 5 * time.Second
 	formingCallTimeout = 700 * time.Millisecond
-	// complaintPause separates lines of the log about changes without an answer: an operator that reaches only a controller
+	// unansweredPause separates lines of the log about changes without an answer: an operator that reaches only a controller
 	// cut off from the others sends again many times a second.
-	complaintPause = time.Second
+	unansweredPause = time.Second
 )
 
 // operatorAPI serves the operator's calls.
@@ -45,9 +45,9 @@
 	started time.Time
 	log     *zap.Logger
 
-	complaining  sync.Mutex
-	unanswered   int       // changes since the last line about them
-	complainedAt time.Time // zero: never
+	counting   sync.Mutex
+	unanswered int       // changes since the last line about them
+	loggedAt   time.Time // zero: never
 }
 
 func newOperatorAPI(node stateRegister, log *zap.Logger) *operatorAPI {
@@ -150,22 +150,22 @@
 	case errors.Is(err, errNotAbove):
 		refuse(w, http.StatusBadRequest, err.Error())
 	default:
-		a.complain(err)
+		a.logUnanswered(err)
 		refuse(w, http.StatusServiceUnavailable, "the outcome is not known here")
 	}
 }
 
-// complain notes a change that is left without an answer.
-func (a *operatorAPI) complain(err error) {
-	a.complaining.Lock()
-	defer a.complaining.Unlock()
+// logUnanswered notes a change that is left without an answer.
+func (a *operatorAPI) logUnanswered(err error) {
+	a.counting.Lock()
+	defer a.counting.Unlock()
 	a.unanswered++
-	if !a.complainedAt.IsZero() && time.Since(a.complainedAt) < complaintPause {
+	if !a.loggedAt.IsZero() && time.Since(a.loggedAt) < unansweredPause {
 		return
 	}
 	a.log.Warn("a change is left without an answer", zap.Int("changes", a.unanswered), zap.String("cause", err.Error()))
 	a.unanswered = 0
-	a.complainedAt = time.Now()
+	a.loggedAt = time.Now()
 }
 
 // read returns the newest configuration as it was sent.
--- a/internal/controller/voices.go
+++ b/internal/controller/reports.go
@@ -9,67 +9,67 @@
 )
 
 const (
-	// voiceSpan is how long the latest try of a router counts.
-	voiceSpan = 6 * time.Second
-	// passSpan is how long a voice is passed on: a few heartbeats, of which some may be lost.
+	// reportSpan is how long the latest try of a router counts.
+	reportSpan = 6 * time.Second
+	// passSpan is how long a report is passed on: a few heartbeats, of which some may be lost.
 	passSpan = 3 * heartbeatInterval
-	// mostVoices bounds what is passed on at once.
-	mostVoices = 512
-	// Of the latest voices on a worker, that part must be complaints, by more routers than may be mistaken.
-	badVoices      = 0.3
-	mistakenPart   = 0.1
-	mostAvoided    = 0.4 // of a service's workers
-	routersAtMost  = 1024
-	workersAtMost  = 4096
-	voicesRepeated = 500 * time.Millisecond
+	// mostReports bounds what is passed on at once.
+	mostReports = 512
+	// Of the latest reports on a worker, that part must be complaints, by more routers than may be mistaken.
+	badReports      = 0.3
+	mistakenPart    = 0.1
+	mostAvoided     = 0.4 // of a service's workers
+	routersAtMost   = 1024
+	workersAtMost   = 4096
+	reportsRepeated = 500 * time.Millisecond
 )
 
-// voice is an observation with who made it.
-type voice struct {
+// report is an observation with who made it.
+type report struct {
 	Router string
 	Zone   string
 	Seen   fleetwire.Observation
 }
 
-// voices weighs what routers saw of workers, for each zone of routers and each service: a worker may fail the callers of one
+// reports weighs what routers saw of workers, for each zone of routers and each service: a worker may fail the callers of one
 // zone only, and the bound on avoided workers holds for each service.
-type voices struct {
+type reports struct {
 	started time.Time
 
 	mutex   sync.Mutex
 	books   map[bookKey]*evidence.Book
-	waiting []heardVoice // to be passed on, oldest first
+	waiting []waitingReport // to be passed on, oldest first
 }
 
 type bookKey struct{ zone, service string }
 
-type heardVoice struct {
-	voice voice
-	at    time.Duration
+type waitingReport struct {
+	report report
+	at     time.Duration
 }
 
-func newVoices(started time.Time) *voices {
-	return &voices{started: started, books: map[bookKey]*evidence.Book{}}
+func newReports(started time.Time) *reports {
+	return &reports{started: started, books: map[bookKey]*evidence.Book{}}
 }
 
-func (v *voices) now() time.Duration { return time.Since(v.started) }
+func (v *reports) now() time.Duration { return time.Since(v.started) }
 
 // heard takes the observations of one router that polls here, which the other controllers are to be told. services tells of
 // which service each worker is.
-func (v *voices) heard(from fleetwire.Member, observations []fleetwire.Observation, services map[string]string) {
+func (v *reports) heard(from fleetwire.Member, observations []fleetwire.Observation, services map[string]string) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	now := v.now()
 	for _, seen := range observations {
-		told := voice{Router: from.Name, Zone: from.Zone, Seen: seen}
-		if v.take(now, told, services) && len(v.waiting) < mostVoices {
-			v.waiting = append(v.waiting, heardVoice{voice: told, at: now})
+		told := report{Router: from.Name, Zone: from.Zone, Seen: seen}
+		if v.take(now, told, services) && len(v.waiting) < mostReports {
+			v.waiting = append(v.waiting, waitingReport{report: told, at: now})
 		}
 	}
 }
 
-// told takes voices that another controller has heard.
-func (v *voices) told(others []voice, services map[string]string) {
+// told takes reports that another controller has heard.
+func (v *reports) told(others []report, services map[string]string) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	now := v.now()
@@ -78,8 +78,8 @@
 	}
 }
 
-// take needs the lock. It reports whether the voice is news.
-func (v *voices) take(now time.Duration, told voice, services map[string]string) bool {
+// take needs the lock. It reports whether the report is news.
+func (v *reports) take(now time.Duration, told report, services map[string]string) bool {
 	service, listed := services[told.Seen.Worker]
 	if !listed {
 		return false
@@ -96,20 +96,20 @@
 }
 
 // book needs the lock.
-func (v *voices) book(key bookKey) *evidence.Book {
+func (v *reports) book(key bookKey) *evidence.Book {
 	known := v.books[key]
 	if known == nil {
 		known, _ = evidence.NewBook(evidence.Config{
-			Members: routersAtMost, Workers: workersAtMost, Span: voiceSpan, Every: voicesRepeated,
-			Latest: 10, Bad: badVoices, Liars: mistakenPart, Most: mostAvoided,
+			Members: routersAtMost, Workers: workersAtMost, Span: reportSpan, Every: reportsRepeated,
+			Latest: 10, Bad: badReports, Liars: mistakenPart, Most: mostAvoided,
 		}, "", key.zone, 0)
 		v.books[key] = known
 	}
 	return known
 }
 
-// passOn returns the voices to be passed on now.
-func (v *voices) passOn() []voice {
+// passOn returns the reports to be passed on now.
+func (v *reports) passOn() []report {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	now := v.now()
@@ -120,9 +120,9 @@
 		v.waiting = nil
 		return nil
 	}
-	passed := make([]voice, len(v.waiting))
+	passed := make([]report, len(v.waiting))
 	for i := range v.waiting {
-		passed[i] = v.waiting[i].voice
+		passed[i] = v.waiting[i].report
 		passed[i].Seen.AgeMs += (now - v.waiting[i].at).Milliseconds()
 	}
 	return passed
@@ -130,7 +130,7 @@
 
 // doubts returns what a router of a zone is told. services tells of which service each worker is, and routers is the number of
 // those in the zone.
-func (v *voices) doubts(zone string, services func() map[string]string, routers int) []fleetwire.Doubt {
+func (v *reports) doubts(zone string, services func() map[string]string, routers int) []fleetwire.Doubt {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	now := v.now()
--- a/internal/controller/voices_test.go
+++ b/internal/controller/reports_test.go
@@ -50,7 +50,7 @@
 func TestAWorkerIsAvoidedWhenEnoughRoutersOfTheZoneComplain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		services := manyWorkers(30)
-		v := newVoices(time.Now())
+		v := newReports(time.Now())
 		const routers = 23
 		for i := range 3 {
 			v.heard(router(i, "a"), saw("w1", evidence.Failed, 1), services)
@@ -63,8 +63,8 @@
 			v.heard(router(i, "a"), saw("w1", evidence.Fine, 1), services)
 		}
 		require.Empty(t, avoided(v.doubts("a", known(services), routers)), "most fare well there")
-		time.Sleep(voiceSpan)
-		require.Empty(t, v.doubts("a", known(services), routers), "old voices don't count")
+		time.Sleep(reportSpan)
+		require.Empty(t, v.doubts("a", known(services), routers), "old reports don't count")
 	})
 }
 
@@ -72,7 +72,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		services := manyWorkers(rapid.IntRange(1, 20).Draw(t, "workers"))
 		routers := rapid.IntRange(1, 30).Draw(t, "routers")
-		v := newVoices(time.Now())
+		v := newReports(time.Now())
 		for sequence := range uint64(rapid.IntRange(1, 60).Draw(t, "words")) {
 			worker := fmt.Sprintf("w%d", rapid.IntRange(0, 25).Draw(t, "worker"))
 			kind := evidence.Kind(rapid.IntRange(0, 3).Draw(t, "kind"))
@@ -88,7 +88,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		workers := rapid.IntRange(1, 40).Draw(t, "workers")
 		services := manyWorkers(workers)
-		v := newVoices(time.Now())
+		v := newReports(time.Now())
 		for i := range 12 {
 			for sequence := range uint64(workers) {
 				if rapid.Bool().Draw(t, "complains") {
@@ -102,10 +102,10 @@
 	})
 }
 
-func TestVoicesArePassedOnForAWhileAndNotPassedOnAgain(t *testing.T) {
+func TestReportsArePassedOnForAWhileAndNotPassedOnAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		services := manyWorkers(5)
-		first, second := newVoices(time.Now()), newVoices(time.Now())
+		first, second := newReports(time.Now()), newReports(time.Now())
 		first.heard(router(0, "a"), saw("w1", evidence.Failed, 1), services)
 		first.heard(router(0, "a"), saw("gone", evidence.Failed, 2), services)
 		time.Sleep(heartbeatInterval)
--- a/internal/controller/complaint_test.go
+++ b/internal/controller/unanswered_test.go
@@ -18,13 +18,13 @@
 		core, logged := observer.New(zap.WarnLevel)
 		api := newOperatorAPI(node, zap.New(core))
 		const each = 50 * time.Millisecond
-		for range 2*complaintPause/each + 1 {
+		for range 2*unansweredPause/each + 1 {
 			require.Equal(t, http.StatusServiceUnavailable, sendTo(api, "0", configBody(1)).Code)
 			time.Sleep(each) // of the bubble's clock
 		}
 		lines := logged.All()
 		require.Len(t, lines, 3)
 		require.EqualValues(t, 1, lines[0].ContextMap()["changes"])
-		require.EqualValues(t, complaintPause/each, lines[1].ContextMap()["changes"])
+		require.EqualValues(t, unansweredPause/each, lines[1].ContextMap()["changes"])
 	})
 }
