Tests: whose answer counts as contact, of which set and from which moment

Change: TestContactIsWithAMajorityOfTheDisksOfTheSet, and scenes in which an empty disk answers, paths are slow, and a controller starts behind a cut.

--- /dev/null
+++ b/coordination/register/contact_test.go
@@ -0,0 +1,61 @@
+package register
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// heardFrom is a node in a set that heard some of its members a while ago.
+func heardFrom(value Value, ages map[string]time.Duration) *Node {
+	now := time.Now()
+	n := &Node{
+		options:  Options{Address: "a"},
+		acceptor: NewAcceptor(Replica{ID: "a1", Address: "a"}, Ballot{}, Accepted{}),
+		chosen:   Accepted{Ballot: ballot(2), Value: value},
+		peers:    map[string]*peer{},
+	}
+	for id, age := range ages {
+		n.peers[id[:1]] = &peer{id: id, answered: now.Add(-age)}
+	}
+	return n
+}
+
+// members are named by their disk, at the address that its first letter is.
+func members(ids ...string) []Replica {
+	var replicas []Replica
+	for _, id := range ids {
+		replicas = append(replicas, Replica{ID: id, Address: id[:1]})
+	}
+	return replicas
+}
+
+func TestContactIsWithAMajorityOfTheDisksOfTheSet(t *testing.T) {
+	const near, far = time.Second, time.Minute
+	for name, test := range map[string]struct {
+		value Value
+		ages  map[string]time.Duration
+		want  time.Duration
+	}{
+		"alone":                         {Value{Replicas: members("a1")}, nil, 0},
+		"no set":                        {Value{}, map[string]time.Duration{"b1": near}, NeverHeard},
+		"nobody heard":                  {Value{Replicas: members("a1", "b1", "c1")}, nil, NeverHeard},
+		"one of two":                    {Value{Replicas: members("a1", "b1", "c1")}, map[string]time.Duration{"b1": near}, near},
+		"the nearer of both":            {Value{Replicas: members("a1", "b1", "c1")}, map[string]time.Duration{"b1": far, "c1": near}, near},
+		"two of four are needed":        {Value{Replicas: members("a1", "b1", "c1", "d1")}, map[string]time.Duration{"b1": near, "c1": far}, far},
+		"another disk at the address":   {Value{Replicas: members("a1", "b1", "c1")}, map[string]time.Duration{"b2": near}, NeverHeard},
+		"not a member itself":           {Value{Replicas: members("b1", "c1", "d1")}, map[string]time.Duration{"b1": near}, NeverHeard},
+		"the set alone that it becomes": {Value{Replicas: members("a1", "d1", "e1"), Previous: members("a1", "b1", "c1")}, map[string]time.Duration{"d1": near}, NeverHeard},
+		"both sets":                     {Value{Replicas: members("a1", "d1", "e1"), Previous: members("a1", "b1", "c1")}, map[string]time.Duration{"d1": near, "c1": far}, far},
+	} {
+		t.Run(name, func(t *testing.T) {
+			age := heardFrom(test.value, test.ages).QuorumAge()
+			if test.want == NeverHeard {
+				require.Equal(t, NeverHeard, age)
+				return
+			}
+			require.InDelta(t, test.want.Seconds(), age.Seconds(), 0.5)
+		})
+	}
+}
--- a/internal/controller/simulation_scenes_test.go
+++ b/internal/controller/simulation_scenes_test.go
@@ -212,3 +212,71 @@
 		t.Logf("after %d changes the one that was away is in order in %v; a disk has %d bytes", changes, took, away.machine.Disk().Size())
 	})
 }
+
+// One of three misses a change behind a cut; one of the two that know it loses its disk, and the other is dark. The empty disk is no
+// contact: with it, the one that missed the change would hand out the old state.
+func TestAnEmptyDiskIsNoContact(t *testing.T) {
+	t.Parallel()
+	simScene(t, 1, func(s *simSite, operator *simOperator) {
+		behind, wiped, dark := s.present()[0], s.present()[1], s.present()[2]
+		heal := s.cutFromCores(behind)
+		operator.avoid = behind
+		s.mustChange(operator)
+		s.endCore(wiped, (*live.Machine).Wipe)
+		s.endCore(dark, (*live.Machine).LosePower)
+		for _, m := range s.frontends { // these begin anew, and know nothing
+			s.endFrontend(m, (*live.Machine).LosePower)
+			s.startFrontend(m)
+		}
+		heal()
+		s.startCore(wiped)
+		time.Sleep(simCutFor)
+		if age := behind.program().node.QuorumAge(); age < simCutFor {
+			s.checks.failf("contact %v ago, with nobody who knows the set", age)
+		}
+		status, _ := operator.call(s.ended, http.MethodGet, behind.control(), pathRead, 0, nil)
+		require.NotEqual(t, http.StatusOK, status)
+		s.startCore(dark)
+		s.await(simSettleWithin, "in order", s.checks.settled)
+	})
+}
+
+// Over slow paths an answer is old when it comes: contact is as old as the question.
+func TestContactIsAsOldAsItsQuestion(t *testing.T) {
+	t.Parallel()
+	simScene(t, 1, func(s *simSite, operator *simOperator) {
+		hit := s.present()[0]
+		defer s.slowPaths(hit)()
+		node := hit.program().node
+		time.Sleep(simCatchUp)
+		for begun := time.Now(); time.Since(begun) < simCatchUp; time.Sleep(sampleEvery) {
+			if age := node.QuorumAge(); age < 2*slowPath {
+				s.checks.failf("contact %v ago, over paths of %v and back", age, slowPath)
+				return
+			}
+		}
+	})
+}
+
+// A controller that starts behind a cut has had no contact, however short its life is.
+func TestAStartBehindACutIsNoContact(t *testing.T) {
+	t.Parallel()
+	simScene(t, 1, func(s *simSite, operator *simOperator) {
+		hit := s.present()[0]
+		defer s.cutFromCores(hit)()
+		s.kill(hit)()
+		s.await(simCatchUp, "started", func() string {
+			if hit.program() == nil {
+				return "not yet"
+			}
+			return ""
+		})
+		node := hit.program().node
+		for begun := time.Now(); time.Since(begun) < maxQuorumAge; time.Sleep(sampleEvery) {
+			if inTouch(node) {
+				s.checks.failf("in touch %v after a start behind a cut", time.Since(begun))
+				return
+			}
+		}
+	})
+}
