--- /dev/null
+++ b/coordination/watch/fuzz_test.go
@@ -0,0 +1,40 @@
+package watch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"weldscale/internal/fleetwire"
+)
+
+// Whatever a hub answers, a follower takes it or leaves it: it never goes back, and never holds half of an answer.
+func FuzzAnswers(f *testing.F) {
+	config, err := pack(&fleetwire.Config{Version: 3})
+	require.NoError(f, err)
+	list, err := pack([]fleetwire.Instance{{ID: "a"}, {ID: "b"}})
+	require.NoError(f, err)
+	delta, err := pack(fleetwire.ListDelta{Put: []fleetwire.Instance{{ID: "c"}}, Removed: []string{"a"}})
+	require.NoError(f, err)
+	f.Add([]byte(config), []byte(list), []byte(delta), uint64(1), uint64(2), uint64(7))
+	f.Add([]byte{packedFlate}, []byte{packedPlain}, []byte{packedPlain, 0x92}, uint64(0), uint64(0), uint64(0))
+	f.Add([]byte{9}, []byte{}, []byte{packedFlate, 1, 2, 3}, uint64(5), uint64(1), uint64(1))
+	f.Fuzz(func(t *testing.T, config, list, delta []byte, revision, sequence, digest uint64) {
+		follower := NewFollower(FollowerOptions{OnChange: func(*Snapshot) {}})
+		now := time.Now()
+		first := fleetwire.ListVersion{Token: 1, Sequence: 1}
+		last := fleetwire.ListVersion{Token: 1, Sequence: sequence}
+		for _, reply := range []fleetwire.WatchReply{
+			{Now: fleetwire.Version{ConfigRevision: revision, Instances: first}, Config: config, Instances: list},
+			{Now: fleetwire.Version{Instances: last}, Steps: []fleetwire.ListStep{{From: first, To: last, Digest: digest, Body: delta}}},
+			{Now: fleetwire.Version{ConfigRevision: revision / 2, Instances: first}, Config: config, Instances: list},
+		} {
+			before := follower.held.snapshot.Version
+			_ = follower.take(&reply, now, now)
+			after := follower.held.snapshot.Version
+			require.GreaterOrEqual(t, after.ConfigRevision, before.ConfigRevision)
+			require.False(t, after.Instances.Less(before.Instances))
+		}
+	})
+}
