--- a/internal/controller/simulation_scenes_test.go
+++ b/internal/controller/simulation_scenes_test.go
@@ -284,3 +284,67 @@
 		}
 	})
 }
+
+// Nine controllers, over paths that take up to a fifth of a second one way and change each second: the list of workers stays fresh at
+// each of them, and the role of its reader is held nearly all the time and moves seldom.
+func TestNineControllersKeepTheListFresh(t *testing.T) {
+	t.Parallel()
+	const (
+		tolerance  = 4
+		spans      = 20 * time.Second
+		slowest    = 200 * time.Millisecond
+		oldestList = 1200 * time.Millisecond
+	)
+	simScene(t, tolerance, func(s *simSite, _ *simOperator) {
+		tokens := map[uint64]bool{}
+		vacant, looks := 0, 0
+		for begun := time.Now(); time.Since(begun) < spans; {
+			s.varyPaths(slowest)
+			for second := time.Now(); time.Since(second) < time.Second; time.Sleep(simLookEvery) {
+				if age := s.oldestList(); age > oldestList {
+					s.checks.failf("a list is %v old", age)
+					return
+				}
+				token := s.holderOf(roleReader)
+				looks++
+				if token == 0 {
+					vacant++
+				} else {
+					tokens[token] = true
+				}
+			}
+		}
+		t.Logf("%d tokens, vacant in %d of %d looks", len(tokens), vacant, looks)
+		require.LessOrEqual(t, len(tokens), 3)
+		require.Less(t, 10*vacant, looks)
+	})
+}
+
+// varyPaths draws the delays of all paths between controllers anew.
+func (s *simSite) varyPaths(slowest time.Duration) {
+	for _, from := range s.present() {
+		for _, to := range s.present() {
+			if from != to {
+				s.network.Slow(from.machine.IP(), to.machine.IP(), s.between(0, slowest))
+			}
+		}
+	}
+}
+
+func (s *simSite) oldestList() (oldest time.Duration) {
+	for _, m := range s.present() {
+		_, age := m.program().controller.lists.held(time.Now())
+		oldest = max(oldest, milliseconds(age))
+	}
+	return oldest
+}
+
+// holderOf returns the token under which a role is held, or 0.
+func (s *simSite) holderOf(role string) uint64 {
+	for _, m := range s.present() {
+		if token, held := m.program().controller.leases.holds(role); held {
+			return token
+		}
+	}
+	return 0
+}
