--- a/internal/controller/simulation_scenes_test.go
+++ b/internal/controller/simulation_scenes_test.go
@@ -348,3 +348,20 @@
 	}
 	return 0
 }
+
+// A machine whose disk is lost again and again is another replica each time, and in the set soon after.
+func TestEachDiskIsAnotherReplica(t *testing.T) {
+	t.Parallel()
+	simScene(t, 1, func(s *simSite, operator *simOperator) {
+		hit := s.present()[0]
+		seen := map[string]bool{}
+		for range 4 {
+			id, _ := hit.diskState()
+			require.False(t, seen[id], "the identity %s again", id)
+			seen[id] = true
+			s.wipe(hit)()
+			s.await(simCatchUp, "in order", s.checks.settled)
+			s.mustChange(operator)
+		}
+	})
+}
