--- a/coordination/sim/live/conn.go
+++ b/coordination/sim/live/conn.go
@@ -196,7 +196,7 @@
 		return
 	}
 	h.moving = true
-	later(h.network.delay(h.way), h.deliver)
+	time.AfterFunc(h.network.delay(h.way), h.deliver)
 }
 
 // deliver has all that was sent arrive, if anything gets through. Heal calls resume for the rest.
--- a/coordination/sim/live/machine.go
+++ b/coordination/sim/live/machine.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"time"
 )
 
 // Machine has an address, a disk and power. One process runs on it at a time.
@@ -238,6 +237,3 @@
 
 // Addr implements net.Listener.
 func (l *listener) Addr() net.Addr { return tcpAddress(l.address) }
-
-// later runs an act after a delay, in a goroutine of its own.
-func later(delay time.Duration, act func()) { time.AfterFunc(delay, act) }
--- a/internal/controller/simulation_site_test.go
+++ b/internal/controller/simulation_site_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -345,62 +343,6 @@
 	time.Sleep(time.Minute) // virtual: net/http's own goroutines end by time
 }
 
-// simPlatformList is the platform: it tells the list of workers.
-type simPlatformList struct{ workers []*simWorker }
-
-func (p *simPlatformList) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	var list []map[string]any
-	for _, worker := range p.workers {
-		list = append(list, worker.entry())
-	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"Instances": list, "NextPageToken": nil})
-}
-
-// simWorker takes orders of stages and checks who gives them.
-type simWorker struct {
-	site *simSite
-	ip   string
-
-	mutex    sync.Mutex
-	stage    string
-	sequence uint64
-	token    uint64
-	holder   string
-}
-
-func (w *simWorker) entry() map[string]any {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return map[string]any{"Id": "i-" + w.ip, "Service": simService, "Address": w.ip + ":80", "Zone": "z", "Slots": 8,
-		"State": fleetwire.InstanceReady, "Stage": w.stage, "Models": []map[string]any{{"Name": "m", "Version": 1}}}
-}
-
-func (w *simWorker) ServeHTTP(answer http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	if r.URL.Path != "/order" {
-		_ = json.NewEncoder(answer).Encode(map[string]any{"Stage": w.stage, "Sequence": w.sequence})
-		return
-	}
-	var order struct {
-		Stage, Holder string
-		FenceToken    uint64
-	}
-	if json.Unmarshal(body, &order) != nil {
-		answer.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	w.site.checks.ordered(w, order.Holder, order.FenceToken)
-	w.token, w.holder = order.FenceToken, order.Holder
-	w.stage = order.Stage
-	w.sequence++
-	answer.WriteHeader(http.StatusAccepted)
-}
-
 // present returns the core machines that have not been removed.
 func (s *simSite) present() []*simMachine {
 	s.mutex.Lock()
