--- a/coordination/lease/decider_test.go
+++ b/coordination/lease/decider_test.go
@@ -228,3 +228,19 @@
 	}
 	require.Empty(t, Owner(key, nil))
 }
+
+// A member that was restarted has forgotten what it granted in its former life; one that starts with the whole group has granted
+// nothing.
+func TestARestartedMemberGrantsOnlyAfterTheGrantsOfItsFormerLife(t *testing.T) {
+	asker, voters := Member{Address: "a", Life: "1"}, []string{"a", "b", "c"}
+	ask := Message{From: asker, Healthy: true, Group: groupOf(voters), Asks: []Ask{{Key: key, Token: 3}}}
+	for _, fresh := range []bool{false, true} {
+		const started = 100 * time.Second
+		voter := New(Member{Address: "b", Life: "2"}, []string{key}, timing, started, fresh)
+		voter.Learn(started, voters, map[string]Record{key: {Holder: asker, Token: 3}})
+		voter.Synced()
+		require.Equal(t, fresh, len(voter.Receive(started, ask).Granted) == 1)
+		require.Equal(t, fresh, len(voter.Receive(started+timing.Grant-1, ask).Granted) == 1)
+		require.Len(t, voter.Receive(started+timing.Grant, ask).Granted, 1)
+	}
+}
