--- a/coordination/lease/decider_test.go
+++ b/coordination/lease/decider_test.go
@@ -244,3 +244,19 @@
 		require.Len(t, voter.Receive(started+timing.Grant, ask).Granted, 1)
 	}
 }
+
+// A grant holds from the moment at which it was asked for: the voter counts from when it was asked, which is later.
+func TestAGrantIsAsOldAsItsQuestion(t *testing.T) {
+	self, voters := Member{Address: "a", Life: "1"}, []string{"a", "b", "c"}
+	holder := New(self, []string{key}, timing, 0, true)
+	holder.Learn(0, voters, map[string]Record{key: {Holder: self, Token: 1}})
+	holder.Synced()
+	const sent, slow = 100 * time.Millisecond, 400 * time.Millisecond
+	holder.Answered(sent, sent+slow, Reply{From: Member{Address: "b", Life: "1"}, Granted: []Ask{{Key: key, Token: 1}}})
+	holder.Answered(sent, sent+slow, Reply{From: Member{Address: "c", Life: "1"}, Granted: []Ask{{Key: key, Token: 1}}})
+	ends := sent + timing.Grant - timing.Margin
+	_, held := holder.Holds(ends-1, key)
+	require.True(t, held)
+	_, held = holder.Holds(ends, key)
+	require.False(t, held)
+}
--- a/coordination/register/contact_test.go
+++ b/coordination/register/contact_test.go
@@ -59,3 +59,23 @@
 		})
 	}
 }
+
+// A replica that has accepted another set than the newest chosen one can't tell which of both is in force.
+func TestASetIsInDoubtOnceAnotherWasAccepted(t *testing.T) {
+	chosen := Value{Revision: 2, Replicas: members("a1", "b1", "c1")}
+	other := Value{Revision: 3, Replicas: members("a1", "b1", "d1"), Previous: chosen.Replicas}
+	sameSet := Value{Revision: 3, Replicas: chosen.Replicas, Data: []byte("x")}
+	for _, test := range []struct {
+		accepted Accepted
+		want     bool
+	}{
+		{Accepted{Ballot: ballot(2), Value: chosen}, false},
+		{Accepted{Ballot: ballot(3), Value: sameSet}, false},
+		{Accepted{Ballot: ballot(3), Value: other}, true},
+		{Accepted{Ballot: ballot(1), Value: other}, false}, // older than what is chosen
+	} {
+		n := heardFrom(chosen, nil)
+		n.acceptor = NewAcceptor(Replica{ID: "a1", Address: "a"}, Ballot{}, test.accepted)
+		require.Equal(t, test.want, n.SetInDoubt(), "%+v", test.accepted)
+	}
+}
