Tests: what the simulation and the exhaustive model wrote twice stands once

Maps are cloned and listed by the standard library; the power of the frontends, the count of existing disks, the sending of a change and the back-off of an operator have one function each; a result that nobody used is gone. No check, bound or draw changes.

--- a/coordination/register/exhaustive_test.go
+++ b/coordination/register/exhaustive_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"hash/maphash"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -215,8 +216,8 @@
 		p := &next.proposers[i]
 		p.ballots = &Ballots{round: p.ballots.round, proposer: p.ballots.proposer}
 		p.current.ballots = p.ballots
-		p.current.asked = cloneMap(p.current.asked)
-		p.current.answers = cloneMap(p.current.answers)
+		p.current.asked = maps.Clone(p.current.asked)
+		p.current.answers = maps.Clone(p.current.answers)
 		p.current.doubt.origins = slices.Clone(p.current.doubt.origins)
 	}
 	next.flying = slices.Clone(state.flying)
@@ -224,14 +225,6 @@
 	return next
 }
 
-func cloneMap[V any](m map[string]V) map[string]V {
-	cloned := make(map[string]V, len(m))
-	for key, value := range m {
-		cloned[key] = value
-	}
-	return cloned
-}
-
 // visit goes on from a state by each event that is possible.
 func (s *exSearch) visit(state *exState) {
 	for at := range state.flying {
@@ -400,7 +393,7 @@
 	into = appendBallot(into, c.base.Ballot, c.chosen, c.ballot, c.proposal.Origin, c.doubt.highest)
 	into = appendBallot(into, c.doubt.origins...)
 	into = binary.AppendUvarint(into, c.proposal.Revision)
-	for _, id := range slices.Sorted(mapKeys(c.asked)) {
+	for _, id := range slices.Sorted(maps.Keys(c.asked)) {
 		answer, answered := c.answers[id]
 		into = append(into, id...)
 		into = append(into, lo.Ternary[byte](answered, 1, 0), byte(answer.Refusal))
@@ -423,16 +416,6 @@
 	return append(into, '|')
 }
 
-func mapKeys(m map[string]bool) func(func(string) bool) {
-	return func(yield func(string) bool) {
-		for key := range m {
-			if !yield(key) {
-				return
-			}
-		}
-	}
-}
-
 var exStories = []exStory{
 	{name: "two change", proposers: [][]Change{{exAppend("x")}, {exAppend("y")}}, joins: -1},
 	{name: "two change, and may try again", proposers: [][]Change{{exAppend("x")}, {exAppend("y")}}, joins: -1, retries: 1},
--- a/internal/controller/simulation_checks_test.go
+++ b/internal/controller/simulation_checks_test.go
@@ -210,12 +210,7 @@
 		return
 	}
 	disks := c.site.existingDisks()
-	existing := 0
-	for _, replica := range newest.Replicas {
-		if disks[replica.ID] {
-			existing++
-		}
-	}
+	existing := existingOf(newest.Replicas, disks)
 	if 2*existing <= len(newest.Replicas) {
 		c.failf("%d of the %d disks of the set exist: %v, %v", existing, len(newest.Replicas), newest.Replicas, disks)
 	}
--- a/internal/controller/simulation_operator_test.go
+++ b/internal/controller/simulation_operator_test.go
@@ -74,18 +74,23 @@
 
 // change sends a change on top of the version that the operator knows. It reports whether it was acknowledged.
 func (o *simOperator) change(ctx context.Context) bool {
+	verdict := o.send(ctx, o.version+1+int64(o.random.IntN(2)))
+	if verdict == simRefused {
+		o.read(ctx)
+	}
+	return verdict == simTaken
+}
+
+// send sends a new change of a version on top of the one that the operator knows.
+func (o *simOperator) send(ctx context.Context, version int64) simVerdict {
 	o.sent++
-	version := o.version + 1 + int64(o.random.IntN(2))
 	wanted := newChange(o.version, version, []byte(simConfig(version, o.mark())))
-	switch o.post(ctx, wanted, false) {
-	case simTaken:
+	verdict := o.post(ctx, wanted, false)
+	if verdict == simTaken {
 		o.version = version
 		o.old = append(o.old, wanted)
-		return true
-	case simRefused:
-		o.read(ctx)
 	}
-	return false
+	return verdict
 }
 
 // mark is in each change of the operator another one.
@@ -107,12 +112,18 @@
 			}
 			return verdict
 		}
-		pause(ctx, time.Duration(1+min(try, 5))*50*time.Millisecond)
+		backOff(ctx, try)
 	}
 	o.site.logf("%s: no clear answer to change %x on %d", o.name, wanted.Digest[:3], wanted.Base)
 	return 0
 }
 
+// backOff waits for a time that grows with the tries.
+func backOff(ctx context.Context, try int) {
+	const steps, step = 5, 50 * time.Millisecond
+	pause(ctx, time.Duration(1+min(try, steps))*step)
+}
+
 func verdictOf(status int) simVerdict {
 	switch {
 	case status == http.StatusOK:
@@ -141,7 +152,7 @@
 			o.took(sent, body)
 			return
 		}
-		pause(ctx, time.Duration(1+min(try, 5))*50*time.Millisecond)
+		backOff(ctx, try)
 	}
 }
 
--- a/internal/controller/simulation_scenes_test.go
+++ b/internal/controller/simulation_scenes_test.go
@@ -147,16 +147,7 @@
 	var racing sync.WaitGroup
 	for i, operator := range operators {
 		operator.losing = 0.6
-		racing.Go(func() {
-			operator.sent++
-			version := operator.version + 1
-			wanted := newChange(operator.version, version, []byte(simConfig(version, operator.mark())))
-			verdicts[i] = operator.post(s.ended, wanted, false)
-			if verdicts[i] == simTaken {
-				operator.version = version
-				operator.old = append(operator.old, wanted)
-			}
-		})
+		racing.Go(func() { verdicts[i] = operator.send(s.ended, operator.version+1) })
 	}
 	racing.Wait()
 	return verdicts
@@ -228,10 +219,7 @@
 		s.mustChange(operator)
 		s.endCore(wiped, (*live.Machine).Wipe)
 		s.endCore(dark, (*live.Machine).LosePower)
-		for _, m := range s.frontends { // these begin anew, and know nothing
-			s.endFrontend(m, (*live.Machine).LosePower)
-			s.startFrontend(m)
-		}
+		s.darkenFrontends()() // these begin anew, and know nothing
 		heal()
 		s.startCore(wiped)
 		time.Sleep(simCutFor)
--- a/internal/controller/simulation_site_test.go
+++ b/internal/controller/simulation_site_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"weldscale/coordination/register"
@@ -303,17 +304,15 @@
 }
 
 // outerMachine adds a machine that nothing befalls and serves HTTP on it.
-func (s *simSite) outerMachine(ip string, handler http.Handler) *live.Process {
+func (s *simSite) outerMachine(ip string, handler http.Handler) {
 	machine := s.network.AddMachine(ip)
 	s.outer = append(s.outer, machine)
-	life := machine.Start()
-	listener, err := life.Listen(ip + ":80")
+	listener, err := machine.Start().Listen(ip + ":80")
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	s.running.Go(func() { _ = server.Serve(listener) })
-	return life
 }
 
 func (s *simSite) startOuter() {
@@ -374,6 +373,11 @@
 	return existing
 }
 
+// existingOf counts the replicas whose disks are among those that exist.
+func existingOf(replicas []register.Replica, existing map[string]bool) int {
+	return lo.CountBy(replicas, func(r register.Replica) bool { return existing[r.ID] })
+}
+
 // newest returns the newest state that any controller knows to be chosen.
 func (s *simSite) newest() register.State {
 	var newest register.State
--- a/internal/controller/simulation_troubles_test.go
+++ b/internal/controller/simulation_troubles_test.go
@@ -172,12 +172,19 @@
 }
 
 func (s *simSite) darkenAll(hit *simMachine) func() {
-	start := s.darkenCores(hit)
+	startCores, startFrontends := s.darkenCores(hit), s.darkenFrontends()
+	return func() {
+		startCores()
+		startFrontends()
+	}
+}
+
+// darkenFrontends takes the power of all frontend machines, and returns what gives it back.
+func (s *simSite) darkenFrontends() func() {
 	for _, m := range s.frontends {
 		s.endFrontend(m, (*live.Machine).LosePower)
 	}
 	return func() {
-		start()
 		for _, m := range s.frontends {
 			s.startFrontend(m)
 		}
@@ -190,7 +197,7 @@
 	newest := s.newestValue()
 	existing := s.existingDisks()
 	for _, set := range [][]register.Replica{newest.Replicas, newest.Previous} {
-		here := lo.CountBy(set, func(r register.Replica) bool { return existing[r.ID] })
+		here := existingOf(set, existing)
 		missing := len(set) - here
 		if len(set) > 0 && (missing+count > s.tolerance || 2*(here-count) <= len(set)) {
 			return false
@@ -224,14 +231,10 @@
 			s.endCore(m, (*live.Machine).LosePower)
 		}
 	}
-	for _, m := range s.frontends {
-		s.endFrontend(m, (*live.Machine).LosePower)
-	}
+	startFrontends := s.darkenFrontends()
 	return func() {
 		s.startAll(cores)()
-		for _, m := range s.frontends {
-			s.startFrontend(m)
-		}
+		startFrontends()
 	}
 }
 
