Router: the log tells which answers are cut, and by what

Of the incident's hypotheses (end of life, a change of configuration, the client's connection) each predicts another cause, and a router said nothing of a request that it cut. Now a line names cause, request, route, time used and left, and configuration; the last line of a router that leaves tells how many requests its end cut.

--- /dev/null
+++ b/internal/router/cuts_test.go
@@ -0,0 +1,55 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"weldscale/coordination/watch"
+	"weldscale/internal/fleetwire"
+)
+
+func TestTheCauseOfACutIsNamed(t *testing.T) {
+	gone, leave := context.WithCancel(t.Context())
+	leave()
+	there := t.Context()
+	soon := time.Now().Add(time.Hour)
+	for _, each := range []struct {
+		name     string
+		context  context.Context
+		failed   bool
+		timedOut bool
+		giveUpAt time.Time
+		cause    cutCause
+	}{
+		{"the client left", gone, true, true, soon, cutByClient},
+		{"the client's connection takes nothing", there, true, false, soon, cutByWrite},
+		{"a worker was silent until the end", there, false, true, soon, cutByTime},
+		{"the time is over", there, false, false, time.Now(), cutByTime},
+		{"the worker broke off", there, false, false, soon, cutByWorker},
+	} {
+		q := &request{incoming: httptest.NewRequestWithContext(each.context, http.MethodPost, "/", nil), timedOut: each.timedOut,
+			giveUpAt: each.giveUpAt, reply: reply{failed: each.failed}}
+		require.Equal(t, each.cause, q.cutCause(), each.name)
+	}
+}
+
+func TestLinesAboutCutsAreBounded(t *testing.T) {
+	lines, observed := observer.New(zap.InfoLevel)
+	router := New(Options{Log: zap.New(lines)})
+	q := &request{router: router, incoming: httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", nil),
+		route: &fleetwire.Route{}, view: &view{snapshot: &watch.Snapshot{Config: &fleetwire.Config{}}}, giveUpAt: time.Now().Add(time.Hour)}
+	now := time.Now()
+	for range 10 * linesPerSecond {
+		q.noteCut()
+	}
+	seconds := int(time.Since(now)/time.Second) + 2 // that the loop may have touched
+	require.LessOrEqual(t, observed.Len(), seconds*linesPerSecond)
+	require.Positive(t, observed.Len())
+}
--- a/internal/router/ingress.go
+++ b/internal/router/ingress.go
@@ -76,6 +76,8 @@
 		abandon:  cancel,
 		reply:    reply{writer: w, controller: http.NewResponseController(w)},
 	}
+	r.inHand.add(exchange)
+	defer r.inHand.remove(exchange)
 	// A client that does not read holds no connection longer than its request may last.
 	_ = exchange.reply.controller.SetWriteDeadline(giveUpAt.Add(writeSlack))
 	var verdict placement.Verdict
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -84,6 +84,7 @@
 	switch {
 	case q.reply.complete:
 	case q.reply.started(), q.clientGone():
+		q.noteCut()
 		panic(http.ErrAbortHandler)
 	case !q.mayHaveRun:
 		q.answer(KindRefused, verdict.RetryAfter)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -49,6 +49,8 @@
 	stopping atomic.Bool
 
 	observations *observations
+	inHand       *requestsInHand
+	cutLines     linePace
 	started      chan struct{} // closed once there are a configuration and a list
 	starting     sync.Once
 }
@@ -61,7 +63,12 @@
 	if options.RetryAfter == 0 {
 		options.RetryAfter = defaultRetryAfter
 	}
-	return &Router{options: options, started: make(chan struct{}), observations: newObservations()}
+	return &Router{
+		options:      options,
+		started:      make(chan struct{}),
+		observations: newObservations(),
+		inHand:       newRequestsInHand(),
+	}
 }
 
 // Update puts a newer snapshot into force. It is called by one goroutine.
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -163,11 +163,14 @@
 // connections are closed, and last what has not ended.
 func (r *Router) leave(clients, probes *http.Server, times leaving) {
 	r.Stop()
-	r.options.Log.Info("router leaves")
+	stopped := time.Now()
+	r.options.Log.Info("router leaves", zap.Int("in_hand", len(r.inHand.all())))
 	time.Sleep(times.drain)
 	ctx, cancel := context.WithTimeout(context.Background(), times.finish)
 	defer cancel()
-	if clients.Shutdown(ctx) != nil {
+	failure := clients.Shutdown(ctx)
+	r.logCutByEnd(stopped)
+	if failure != nil {
 		_ = clients.Close()
 	}
 	_ = probes.Close()
--- a/internal/router/shutdown_test.go
+++ b/internal/router/shutdown_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"weldscale/coordination/watch"
 	"weldscale/internal/fleetwire"
@@ -174,3 +175,24 @@
 		require.Error(t, err)
 	})
 }
+
+// What the end of a process cuts must be told from what clients, workers and time-outs cut.
+func TestTheEndOfAProcessTellsWhatItCuts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lines, observed := observer.New(zap.InfoLevel)
+		e := startEnding(time.Hour)
+		e.router.options.Log = zap.New(lines)
+		go func() { _ = ask(e.clients.dial(), "/a/x") }()
+		synctest.Wait()
+		e.leave(leaveTimes(8 * time.Second))
+		<-e.left
+		cut := observed.FilterMessage("answer cut").All()
+		require.Len(t, cut, 1)
+		fields := cut[0].ContextMap()
+		require.Equal(t, "end", fields["cause"])
+		require.Equal(t, "id", fields["request"])
+		left := observed.FilterMessage("router left").All()
+		require.Len(t, left, 1)
+		require.EqualValues(t, 1, left[0].ContextMap()["cut"])
+	})
+}
