--- a/internal/router/shutdown_test.go
+++ b/internal/router/shutdown_test.go
@@ -140,6 +140,20 @@
 	})
 }
 
+// Guards against LOST: a request that a draining router took was cut as its process ended.
+func TestADrainTakesNothingThatTheEndOfTheProcessWouldCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := startEnding(6 * time.Second)
+		e.leave(leaveTimes(8 * time.Second))
+		time.Sleep(2 * time.Second)
+		answer := ask(e.clients.dial(), "/a/x") // may last a minute
+		require.NotNil(t, answer, "the connection was closed without an answer")
+		require.Equal(t, http.StatusServiceUnavailable, answer.StatusCode)
+		require.True(t, answer.Close)
+		<-e.left
+	})
+}
+
 func TestWhatDoesNotEndIsCutWithinTheGrace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := startEnding(time.Hour)
