Router: a drain takes only requests that are over before the process ends

A stream that a router had taken after its SIGTERM was cut in its middle when the process ended. Cause: for 2.5 s after SIGTERM a router took every request, though some may last longer than the process: 10 s to the deadline against 7 s to the end. Whatever ran then was cut, with a second of the grace to spare. Why this works: a request is taken only if the end of its time, its client's deadline or the route's timeout, lies before the end of the process; otherwise it is refused at once, unread by any worker, and its client goes to another router.

--- a/internal/router/cuts.go
+++ b/internal/router/cuts.go
@@ -28,6 +28,8 @@
 		return cutByWrite
 	case q.timedOut, time.Until(q.giveUpAt) <= 0:
 		return cutByTime
+	case q.router.inHand.hasEnded():
+		return cutByEnd
 	default:
 		return cutByWorker
 	}
@@ -39,13 +41,12 @@
 	if cause == cutByClient || !q.router.cutLines.allow(time.Now()) {
 		return
 	}
-	q.logCut(cause, zap.Bool("begun", q.reply.started()), zap.Int("events", q.reply.events))
+	q.log("answer cut", zap.String("cause", string(cause)), zap.Bool("begun", q.reply.started()), zap.Int("events", q.reply.events))
 }
 
-// logCut writes a line about a cut request. It reads only fields that never change.
-func (q *request) logCut(cause cutCause, more ...zap.Field) {
-	q.router.options.Log.Warn("answer cut", append([]zap.Field{
-		zap.String("cause", string(cause)),
+// log writes a line about the request. It reads only fields that never change.
+func (q *request) log(message string, more ...zap.Field) {
+	q.router.options.Log.Warn(message, append([]zap.Field{
 		zap.String("request", q.id),
 		zap.String("route", q.route.Name),
 		zap.Duration("used", time.Since(q.arrived)),
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -230,7 +230,7 @@
 
 // unsent is the result of a push that ended before its first byte.
 func (q *request) unsent(ctx context.Context) placement.Result {
-	if ctx.Err() != nil && q.clientGone() {
+	if ctx.Err() != nil && (q.clientGone() || q.router.inHand.hasEnded()) {
 		return placement.ResultCancelled
 	}
 	return placement.ResultConnectFailed
@@ -242,7 +242,7 @@
 	switch {
 	case q.clientGone() && !q.reply.started() && leftWaiting(q.aim(), time.Since(q.sentAt)):
 		return placement.ResultTimedOut
-	case q.clientGone():
+	case q.clientGone(), q.router.inHand.hasEnded():
 		return placement.ResultCancelled
 	case ctx.Err() != nil && errors.Is(ctx.Err(), context.DeadlineExceeded), time.Until(q.giveUpAt) <= 0:
 		q.timedOut = true
--- a/internal/router/ingress.go
+++ b/internal/router/ingress.go
@@ -18,7 +18,7 @@
 // ServeHTTP takes one request of a client.
 func (r *Router) ServeHTTP(w http.ResponseWriter, incoming *http.Request) {
 	arrived := time.Now()
-	if r.stopping.Load() {
+	if r.stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	id := incoming.Header.Get(headerRequestID)
@@ -76,7 +76,11 @@
 		abandon:  cancel,
 		reply:    reply{writer: w, controller: http.NewResponseController(w)},
 	}
-	r.inHand.add(exchange)
+	if r.outlasts(giveUpAt) || !r.inHand.add(exchange) {
+		r.refusedLeaving.Add(1)
+		exchange.answer(KindLeaving, leavingRetryAfter)
+		return
+	}
 	defer r.inHand.remove(exchange)
 	// A client that does not read holds no connection longer than its request may last.
 	_ = exchange.reply.controller.SetWriteDeadline(giveUpAt.Add(writeSlack))
@@ -89,6 +93,9 @@
 	exchange.finish(verdict)
 }
 
+// leavingRetryAfter is what a refusal says when other routers are there at once.
+const leavingRetryAfter = 10 * time.Millisecond
+
 // writeSlack is the time past a request's end within which its last bytes may still leave.
 const writeSlack = 200 * time.Millisecond
 
--- a/internal/router/inhand.go
+++ b/internal/router/inhand.go
@@ -2,25 +2,30 @@
 
 import (
 	"sync"
-	"time"
 
-	"go.uber.org/zap"
+	"github.com/samber/lo"
 )
 
 // requestsInHand are the requests that have been read and not answered to their end.
 type requestsInHand struct {
 	mutex    sync.Mutex
 	requests map[*request]struct{}
+	ended    bool
 }
 
 func newRequestsInHand() *requestsInHand {
 	return &requestsInHand{requests: map[*request]struct{}{}}
 }
 
-func (h *requestsInHand) add(q *request) {
+// add takes a request in hand, unless the requests have been ended.
+func (h *requestsInHand) add(q *request) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	if h.ended {
+		return false
+	}
 	h.requests[q] = struct{}{}
+	return true
 }
 
 func (h *requestsInHand) remove(q *request) {
@@ -29,25 +34,23 @@
 	delete(h.requests, q)
 }
 
-// all returns the requests in hand. Only their fields that never change may be read.
-func (h *requestsInHand) all() []*request {
+func (h *requestsInHand) count() int {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	all := make([]*request, 0, len(h.requests))
-	for q := range h.requests {
-		all = append(all, q)
-	}
-	return all
+	return len(h.requests)
 }
 
-// mostCutLines bounds what the end of a process logs of single requests.
-const mostCutLines = 20
+// end takes no further requests in hand and returns those that are. Only their fields that never change may be read.
+func (h *requestsInHand) end() []*request {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.ended = true
+	return lo.Keys(h.requests)
+}
 
-// logCutByEnd tells of the requests that the end of the process cuts.
-func (r *Router) logCutByEnd(stopped time.Time) {
-	cut := r.inHand.all()
-	for _, q := range cut[:min(len(cut), mostCutLines)] {
-		q.logCut(cutByEnd, zap.Duration("arrived_after_stop", q.arrived.Sub(stopped)))
-	}
-	r.options.Log.Info("router left", zap.Int("cut", len(cut)), zap.Duration("after", time.Since(stopped)))
+// hasEnded reports whether end was called.
+func (h *requestsInHand) hasEnded() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.ended
 }
--- a/internal/router/kinds.go
+++ b/internal/router/kinds.go
@@ -20,6 +20,8 @@
 	KindRefused                     // no worker can take it now; it has not run and never will
 	KindWorkerBroken                // the worker's answer broke; it may have run
 	KindTimedOut                    // no answer came in time; it may have run
+	KindLeaving                     // this process ends before the request might; it has not run and never will
+	KindEnded                       // this process ends; the request may have run
 	kindCount
 )
 
@@ -38,6 +40,8 @@
 	KindRefused:         {status: http.StatusServiceUnavailable, retry: true},
 	KindWorkerBroken:    {status: http.StatusBadGateway},
 	KindTimedOut:        {status: http.StatusGatewayTimeout},
+	KindLeaving:         {status: http.StatusServiceUnavailable, retry: true, close: true},
+	KindEnded:           {status: http.StatusBadGateway, close: true},
 }
 
 // writeKind answers the client at once.
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -92,6 +92,8 @@
 		q.passFailure(q.reply.failure)
 	case q.timedOut, time.Until(q.giveUpAt) <= 0:
 		q.answer(KindTimedOut, 0)
+	case q.router.inHand.hasEnded():
+		q.answer(KindEnded, 0)
 	case q.repeatable() && verdict.Decision == placement.DecisionRefused:
 		q.answer(KindRefused, verdict.RetryAfter)
 	default:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -46,13 +46,15 @@
 type Router struct {
 	options  Options
 	view     atomic.Pointer[view]
-	stopping atomic.Bool
+	finishAt atomic.Pointer[time.Time] // when requests in hand are ended; nil: the router was not told to end
 
 	observations *observations
 	inHand       *requestsInHand
 	cutLines     linePace
-	started      chan struct{} // closed once there are a configuration and a list
-	starting     sync.Once
+	// refusedLeaving counts the requests that were refused because the process would have ended under them.
+	refusedLeaving atomic.Int64
+	started        chan struct{} // closed once there are a configuration and a list
+	starting       sync.Once
 }
 
 // New returns a router that is not ready until Update gives it a first snapshot.
@@ -114,12 +116,9 @@
 // Ready reports whether new clients are welcome.
 func (r *Router) Ready() bool {
 	current := r.view.Load()
-	return !r.stopping.Load() && current != nil && current.hasList()
+	return !r.stopping() && current != nil && current.hasList()
 }
 
-// Stop makes the router not ready; it serves on, and asks clients to leave their connections.
-func (r *Router) Stop() { r.stopping.Store(true) }
-
 // ReadinessHandler answers the platform's probes.
 func (r *Router) ReadinessHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
