Router: what was read from a connection that is being closed goes nowhere

What callers would see: LOST. net/http counts a kept connection as idle until the whole head of the next request has been read. A connection that is closed as idle in that moment, by the limit on idle clients or as the router leaves, still hands its request to the handler, which passed it on to a worker; its answer had nowhere to go. Why this works: the hooks of the server and the closing share one lock. A connection is marked before it is closed, and the handler gives up a request whose connection is marked, unread by any worker; its client sends it again elsewhere.

--- a/internal/router/ingress.go
+++ b/internal/router/ingress.go
@@ -18,6 +18,9 @@
 // ServeHTTP takes one request of a client.
 func (r *Router) ServeHTTP(w http.ResponseWriter, incoming *http.Request) {
 	arrived := time.Now()
+	if abandoned(incoming) {
+		panic(http.ErrAbortHandler)
+	}
 	if r.stopping() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/router/leaving.go
+++ b/internal/router/leaving.go
@@ -53,6 +53,7 @@
 	r.stop(stopped.Add(times.finish))
 	r.options.Log.Info("router leaves", zap.Int("in_hand", r.inHand.count()))
 	time.Sleep(times.drain)
+	r.conns.leave()
 	ctx, cancel := context.WithDeadline(context.Background(), stopped.Add(times.end))
 	defer cancel()
 	finishing := time.AfterFunc(time.Until(stopped.Add(times.finish)), func() { r.endRequests(stopped) })
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -48,6 +48,7 @@
 	view     atomic.Pointer[view]
 	finishAt atomic.Pointer[time.Time] // when requests in hand are ended; nil: the router was not told to end
 
+	conns        *clientConns
 	observations *observations
 	inHand       *requestsInHand
 	cutLines     linePace
@@ -69,6 +70,7 @@
 		options:      options,
 		started:      make(chan struct{}),
 		observations: newObservations(),
+		conns:        newClientConns(),
 		inHand:       newRequestsInHand(),
 	}
 }
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -72,13 +72,12 @@
 	following, stopFollowing := context.WithCancel(context.Background())
 	defer stopFollowing()
 	go r.follow(following, current)
-	idle := newIdleConns()
-	clients := &http.Server{Handler: r, MaxHeaderBytes: maxHeaderBytes, ConnState: idle.track}
+	clients := r.clientServer()
 	probes := &http.Server{Handler: r.ReadinessHandler(), IdleTimeout: defaultIdleAllowed}
 	failed := make(chan error, 2)
 	go func() { failed <- clients.Serve(frontend) }()
 	go func() { failed <- probes.Serve(readiness) }()
-	go r.keepHouse(following, idle)
+	go r.keepHouse(following)
 	r.options.Log.Info("router serves", zap.String("address", frontend.Addr().String()))
 	select {
 	case err := <-failed:
@@ -89,6 +88,10 @@
 	return nil
 }
 
+func (r *Router) clientServer() *http.Server {
+	return &http.Server{Handler: r, MaxHeaderBytes: maxHeaderBytes, ConnContext: r.conns.attach, ConnState: r.conns.track}
+}
+
 // follow keeps this router up to date, and tells what it saw of workers.
 func (r *Router) follow(ctx context.Context, current *settings.Settings) {
 	options := followerOptions(current, r.Update, r.options.Log)
@@ -125,7 +128,7 @@
 }
 
 // keepHouse closes what nobody uses.
-func (r *Router) keepHouse(ctx context.Context, idle *idleConns) {
+func (r *Router) keepHouse(ctx context.Context) {
 	ticker := time.NewTicker(housekeeping)
 	defer ticker.Stop()
 	for {
@@ -133,7 +136,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			idle.close(r.idleAllowed())
+			r.conns.closeResting(r.idleAllowed())
 			r.sweep()
 		}
 	}
