Controller: calls of the operator in hand are answered before the process ends

The operator learned nothing but a closed connection. Cause: the bound of a call knew nothing of the end of the process. Why this works: 0.1 s before the connections are closed, the calls in hand are ended as they stand, and are answered 503, the outcome unknown; the operator asks another controller.

--- a/internal/controller/operator.go
+++ b/internal/controller/operator.go
@@ -44,6 +44,9 @@
 	node    stateRegister
 	started time.Time
 	log     *zap.Logger
+	// ending is done once the process is about to end: calls in hand are answered as they stand.
+	ending context.Context
+	end    context.CancelFunc
 
 	counting   sync.Mutex
 	unanswered int       // changes since the last line about them
@@ -51,7 +54,8 @@
 }
 
 func newOperatorAPI(node stateRegister, log *zap.Logger) *operatorAPI {
-	return &operatorAPI{node: node, started: time.Now(), log: log}
+	ending, end := context.WithCancel(context.Background())
+	return &operatorAPI{node: node, started: time.Now(), log: log, ending: ending, end: end}
 }
 
 func (a *operatorAPI) register(mux *http.ServeMux) {
@@ -77,11 +81,21 @@
 		return
 	}
 	// The change goes on when the operator leaves: sent again, it is known.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), changeTimeout)
+	ctx, cancel := a.callContext(context.WithoutCancel(r.Context()), changeTimeout)
 	defer cancel()
 	a.answer(w, a.take(ctx, newChange(base, config.Version, body)))
 }
 
+// callContext bounds the work for one call by time and by the end of the process.
+func (a *operatorAPI) callContext(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(parent, timeout)
+	stop := context.AfterFunc(a.ending, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 func bodyStatus(err error) int {
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -170,7 +184,7 @@
 
 // read returns the newest configuration as it was sent.
 func (a *operatorAPI) read(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), readTimeout)
+	ctx, cancel := a.callContext(r.Context(), readTimeout)
 	defer cancel()
 	state, err := a.readState(ctx)
 	switch {
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -30,6 +30,8 @@
 	lastWriteTimeout = 300 * time.Millisecond
 	// operatorGrace is how long calls of the operator that are in hand may go on after the end was asked for.
 	operatorGrace = 700 * time.Millisecond
+	// answerTime is the part of it in which the last answers leave.
+	answerTime    = 100 * time.Millisecond
 	internalGrace = 100 * time.Millisecond
 	// registerDirectory holds the register under the data directory.
 	registerDirectory = "register"
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -49,7 +49,7 @@
 		c.leave()
 	case failure = <-serving.failed:
 	}
-	serving.shutdown()
+	serving.shutdown(c.operator.end)
 	stop()
 	working.Wait()
 	c.closeRegister()
@@ -113,8 +113,11 @@
 	told.Wait()
 }
 
-// shutdown answers the operator's calls in hand, for which the register must still be reached, and closes.
-func (s *servers) shutdown() {
+// shutdown answers the operator's calls in hand, for which the register must still be reached, and closes. Calls that take too
+// long are ended by endCalls, so that they get an answer as well.
+func (s *servers) shutdown(endCalls func()) {
+	ending := time.AfterFunc(operatorGrace-answerTime, endCalls)
+	defer ending.Stop()
 	end(s.control, operatorGrace)
 	end(s.internal, internalGrace)
 }
