Stages: a fencing token that a worker refused is given up, with its role

A holder that got 412 took it for any refusal and ordered again within seconds, under the same token, as long as its lease ran. Cause: the status of a refusal was not looked at. Why this works: at the first 412 the holder orders nothing more under that token, whatever its lease says, and gives the role up; who takes it, the same controller perhaps, has a higher token.

--- a/coordination/lease/decider.go
+++ b/coordination/lease/decider.go
@@ -213,6 +213,15 @@
 	}
 }
 
+// GiveUp gives up one role that this member is recorded for under a token. Any member may take the role anew, this one too, under a
+// higher token. The next heartbeat tells the others.
+func (d *Decider) GiveUp(key string, token uint64) {
+	known, ok := d.roles[key]
+	if ok && d.recorded(known) && known.record.Token == token {
+		known.released = token
+	}
+}
+
 // Record returns what this member knows of a role.
 func (d *Decider) Record(key string) Record {
 	if known, ok := d.roles[key]; ok {
--- a/coordination/lease/decider_test.go
+++ b/coordination/lease/decider_test.go
@@ -148,6 +148,23 @@
 	require.Equal(t, claiming, set.holders())
 }
 
+func TestARoleThatIsGivenUpIsTakenUnderAnotherToken(t *testing.T) {
+	set := newTable(t, "a", "b", "c")
+	holder, _ := set.settle()
+	token := set.record.Token
+	set.deciders[holder].GiveUp(key, token-1)
+	require.Equal(t, []string{holder}, set.holders(), "another token")
+	set.deciders[holder].GiveUp(key, token)
+	require.Empty(t, set.holders())
+	claiming := set.round(set.voters, set.voters)
+	require.NotEmpty(t, claiming)
+	set.take(claiming[0])
+	set.round(set.voters, set.voters)
+	set.round(set.voters, set.voters)
+	require.Equal(t, []string{claiming[0]}, set.holders())
+	require.Greater(t, set.record.Token, token)
+}
+
 func TestARestartedHolderTakesANewToken(t *testing.T) {
 	set := newTable(t, "a", "b", "c")
 	holder, _ := set.settle()
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -86,6 +86,7 @@
 	c.keeper = stages.NewKeeper(stages.Options{
 		Holder: current.NodeName,
 		Lease:  func() (uint64, bool) { return c.leases.holds(roleStages) },
+		Fenced: func(token uint64) { c.leases.giveUp(roleStages, token) },
 		Fleet:  c.knownFleet,
 		Quiet:  current.Bounds.Lease() + current.Bounds.Thaw(),
 		Fresh:  current.Bootstrap,
--- a/internal/controller/leases.go
+++ b/internal/controller/leases.go
@@ -48,6 +48,10 @@
 	return token, is
 }
 
+func (l *leases) giveUp(key string, token uint64) {
+	l.with(func(decider *lease.Decider, _ time.Duration) { decider.GiveUp(key, token) })
+}
+
 func (l *leases) live() (live []string) {
 	l.with(func(decider *lease.Decider, now time.Duration) { live = decider.Live(now) })
 	return live
--- a/internal/stages/keeper.go
+++ b/internal/stages/keeper.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -37,6 +38,8 @@
 type Options struct {
 	Holder string // the name in orders
 	Lease  Lease
+	// Fenced is told of a token that a worker refused because it has seen a higher one. Nil: nobody is.
+	Fenced func(token uint64)
 	Fleet  func() Fleet
 	Prober placement.Prober // nil: by HTTP
 	Dial   transport.Dial   // opens the connections to workers; nil: by TCP
@@ -54,6 +57,7 @@
 	engines   map[string]*engine // by service
 	token     uint64
 	since     time.Time // when the token was first held
+	fenced    uint64    // the newest token that a worker refused; nothing is ordered under it any more
 }
 
 // NewKeeper returns a keeper.
@@ -100,6 +104,9 @@
 		k.token, k.since = token, now
 		k.engines = map[string]*engine{}
 	}
+	if token <= k.fenced {
+		return false
+	}
 	first := k.options.Fresh && token == 1
 	return first || now.Sub(k.since) >= k.options.Quiet
 }
@@ -122,7 +129,12 @@
 		}
 		k.weigh(ctx, state, now, workers, service.Engine.Slots)
 		for _, order := range state.planner.Plan(now, workers, state.balance.Share()) {
-			if err := k.send(ctx, order); err != nil {
+			err := k.send(ctx, order)
+			if errors.Is(err, errFenced) {
+				k.fence()
+				return
+			}
+			if err != nil {
 				state.planner.Failed(order.Target.ID)
 				k.options.Log.Warn("order not taken", zap.String("instance", order.Target.ID), zap.String("cause", err.Error()))
 			}
@@ -130,6 +142,15 @@
 	}
 }
 
+// fence gives the present token up for good: another holder has ordered under a higher one.
+func (k *Keeper) fence() {
+	k.fenced = k.token
+	k.options.Log.Warn("a worker has seen a higher fencing token", zap.Uint64("token", k.token))
+	if k.options.Fenced != nil {
+		k.options.Fenced(k.token)
+	}
+}
+
 // engine is what the holder knows of one service. A new holder begins anew.
 type engine struct {
 	planner  *Planner
@@ -157,8 +178,12 @@
 	}
 }
 
-// errNotTaken is returned for an order that the worker refused.
-var errNotTaken = eris.New("the worker did not take the order")
+var (
+	// errNotTaken is returned for an order that the worker refused.
+	errNotTaken = eris.New("the worker did not take the order")
+	// errFenced is returned for an order whose fencing token is below one that the worker has seen.
+	errFenced = eris.New("the worker has seen a higher fencing token")
+)
 
 // message is the body of an order.
 type message struct {
@@ -193,6 +218,9 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, 4<<10))
+	if response.StatusCode == http.StatusPreconditionFailed {
+		return errFenced
+	}
 	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusAccepted {
 		return eris.Wrapf(errNotTaken, "status %d", response.StatusCode)
 	}
--- a/internal/stages/keeper_test.go
+++ b/internal/stages/keeper_test.go
@@ -108,6 +108,30 @@
 	require.False(t, newTestKeeper(t, held, &orderedWorker{}, false).mayOrder(time.Now()), "a restarted one can't know that it is the first")
 }
 
+// Guards against orders that go on under a fencing token that workers refuse.
+func TestNothingIsOrderedAgainUnderATokenThatAWorkerRefused(t *testing.T) {
+	worker := &orderedWorker{status: http.StatusPreconditionFailed}
+	held := &leaseRecord{token: 4, held: true}
+	keeper := newTestKeeper(t, held, worker, false)
+	var fenced []uint64
+	keeper.options.Fenced = func(token uint64) { fenced = append(fenced, token) }
+	start := time.Now()
+	later := start.Add(time.Hour)
+	require.False(t, keeper.mayOrder(start))
+	require.True(t, keeper.mayOrder(later))
+	keeper.orderAll(t.Context(), time.Hour)
+	require.Len(t, worker.orders, 1, "the first refusal ends it")
+	require.Equal(t, []uint64{4}, fenced)
+	held.held = false
+	require.False(t, keeper.mayOrder(later))
+	held.held = true
+	require.False(t, keeper.mayOrder(later.Add(time.Hour)))
+	require.False(t, keeper.mayOrder(later.Add(2*time.Hour)), "held anew under the same token")
+	held.token = 5
+	require.False(t, keeper.mayOrder(later.Add(3*time.Hour)))
+	require.True(t, keeper.mayOrder(later.Add(4*time.Hour)))
+}
+
 func TestRefusedOrdersAreGivenAgainLater(t *testing.T) {
 	worker := &orderedWorker{status: http.StatusConflict}
 	keeper := newTestKeeper(t, &leaseRecord{token: 4, held: true}, worker, false)
