--- a/cmd/weldsoak/main.go
+++ b/cmd/weldsoak/main.go
@@ -33,6 +33,7 @@
 	flagRouters     = "routers"
 	flagControllers = "controllers"
 	flagKills       = "kills"
+	flagQuota       = "quota"
 	flagAtOnce      = "at-once"
 	flagPrograms    = "programs"
 	flagLog         = "log"
@@ -50,6 +51,7 @@
 			&cli.IntFlag{Name: flagRouters, Usage: "frontend machines, of two processes each", Value: 4},
 			&cli.IntFlag{Name: flagControllers, Usage: "core machines", Value: 3},
 			&cli.BoolFlag{Name: flagKills, Usage: "kill processes as well"},
+			&cli.FloatFlag{Name: flagQuota, Usage: "`SHARE` of a core for each process, full speed until it is spent; 0: none"},
 			&cli.IntFlag{Name: flagAtOnce, Usage: "seeds that are played side by side", Value: 1},
 			&cli.StringFlag{Name: flagPrograms, Usage: "`DIRECTORY` of the fleet's programs; by default they are built"},
 			&cli.BoolFlag{Name: flagLog, Usage: "show the programs' logs"},
@@ -63,7 +65,7 @@
 func run(ctx context.Context, command *cli.Command) error {
 	options := soak.Options{
 		Programs: command.String(flagPrograms), Length: command.Duration(flagLength), Routers: command.Int(flagRouters),
-		Controllers: command.Int(flagControllers), Kills: command.Bool(flagKills), Log: command.Bool(flagLog),
+		Controllers: command.Int(flagControllers), Kills: command.Bool(flagKills), Quota: command.Float(flagQuota), Log: command.Bool(flagLog),
 	}
 	if options.Programs == "" {
 		directory, err := os.MkdirTemp("", "weldsoak-")
--- a/internal/soak/machines.go
+++ b/internal/soak/machines.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
@@ -65,7 +66,7 @@
 	}
 	s.work.Go(func() {
 		s.await(process, ended)
-		pause(restartAfter)
+		wait(context.Background(), restartAfter)
 		s.mu.Lock()
 		delete(s.stopping, process)
 		s.restarts++
@@ -102,9 +103,3 @@
 		}
 	}
 }
-
-func pause(span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	<-timer.C
-}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -25,7 +25,8 @@
 	Routers     int
 	Controllers int
 	Kills       bool
-	Log         bool // pass the programs' logs on to standard error
+	Quota       float64 // of a core for each process, full speed until it is spent; 0: none
+	Log         bool    // pass the programs' logs on to standard error
 }
 
 // Report is what became of a run.
@@ -122,6 +123,8 @@
 			Judge: r.fleet.Judge, Kinds: Kinds(), OnResult: r.books.Add, Holds: true}
 		crowds.Go(func() { crowd.Run(loading) })
 	}
+	throttled := r.throttle(ctx)
+	defer throttled()
 	r.act(ctx, events)
 	r.supervisor.settle()
 	r.checkCalm(ctx)
@@ -129,6 +132,25 @@
 	crowds.Wait()
 }
 
+// throttle begins to give the processes quotas, if there are any, and returns what ends it.
+func (r *run) throttle(ctx context.Context) (end func()) {
+	if r.Quota <= 0 {
+		return func() {}
+	}
+	ctx, stop := context.WithCancel(ctx)
+	var throttling sync.WaitGroup
+	throttling.Go(func() { throttle(ctx, r.processes(), r.Quota) })
+	return func() {
+		stop()
+		throttling.Wait()
+	}
+}
+
+// processes are all processes of the fleet.
+func (r *run) processes() []*fleet.Process {
+	return slices.Concat(r.fleet.Controllers, r.fleet.Agents, r.fleet.Routers)
+}
+
 // act brings the events about, and returns at the end of the run's length.
 func (r *run) act(ctx context.Context, events []Event) {
 	began := time.Now()
@@ -180,8 +202,8 @@
 
 // checkCalm waits until all machines are settled. Then a change has to be taken and to be in force everywhere in time.
 func (r *run) checkCalm(ctx context.Context) {
-	pause(settledAfter)
-	r.supervisor.checkRunning(slices.Concat(r.fleet.Controllers, r.fleet.Agents, r.fleet.Routers))
+	wait(ctx, settledAfter)
+	r.supervisor.checkRunning(r.processes())
 	config, probe := withProbe(configOf(r.operations.current.Version+1, 0))
 	acking, cancel := context.WithTimeout(ctx, ackWithin)
 	defer cancel()
@@ -210,7 +232,7 @@
 		if result.Began.After(until) || ctx.Err() != nil {
 			return false
 		}
-		pause(probePause)
+		wait(ctx, probePause)
 	}
 }
 
@@ -219,7 +241,7 @@
 func (r *run) report(events []Event) *Report {
 	total := r.books.Total()
 	report := &Report{
-		Seed: r.Seed, Processes: len(r.fleet.Controllers) + len(r.fleet.Agents) + len(r.fleet.Routers), Events: len(events),
+		Seed: r.Seed, Processes: len(r.processes()), Events: len(events),
 		Restarts: r.supervisor.restarts, Changes: r.operations.acked, Unclear: r.operations.unclear, Requests: total,
 		Found: slices.Concat(r.found, r.operations.problems, r.supervisor.problems),
 	}
