--- /dev/null
+++ b/coordination/register/background_test.go
@@ -0,0 +1,24 @@
+package register
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestABackgroundIsBusyUntilItsStepEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var steps background
+		require.False(t, steps.busy())
+		for range 2 {
+			end := make(chan struct{})
+			steps.start(func() { <-end })
+			synctest.Wait()
+			require.True(t, steps.busy())
+			close(end)
+			synctest.Wait()
+			require.False(t, steps.busy())
+		}
+	})
+}
--- a/coordination/register/keeping.go
+++ b/coordination/register/keeping.go
@@ -14,18 +14,13 @@
 // bear. It is used by the goroutine of Run.
 type keeping struct {
 	behindSince time.Time // zero: the disk holds what is chosen
-	writing     chan struct{}
+	writing     background
 }
 
 // step writes the newest chosen value if it is due, in the background: a disk may hang.
 func (k *keeping) step(ctx context.Context, n *Node, now time.Time) {
-	if k.writing != nil {
-		select {
-		case <-k.writing:
-			k.writing = nil
-		default:
-			return
-		}
+	if k.writing.busy() {
+		return
 	}
 	if !n.lacksChosen() {
 		k.behindSince = time.Time{}
@@ -37,12 +32,7 @@
 	if now.Sub(k.behindSince) < keepAfter {
 		return
 	}
-	writing := make(chan struct{})
-	k.writing = writing
-	go func() {
-		defer close(writing)
-		n.keepChosen(ctx)
-	}()
+	k.writing.start(func() { n.keepChosen(ctx) })
 }
 
 // lacksChosen reports whether the own replica is in the set and does not hold what is chosen.
--- a/coordination/register/upkeep.go
+++ b/coordination/register/upkeep.go
@@ -120,8 +120,8 @@
 
 // upkeep is the state of the steps that Run takes beside the heartbeat.
 type upkeep struct {
-	running    chan struct{} // closed when the step under way ends; nil if there is none
-	memberOf   Ballot        // joint value that was seen last
+	changing   background
+	memberOf   Ballot // joint value that was seen last
 	jointSince time.Time
 	doubtSince time.Time
 	probeSince time.Time // when the node, not in the set, first knew it
@@ -129,32 +129,29 @@
 
 // step starts what is due, in the background: the heartbeat must not wait for it.
 func (u *upkeep) step(ctx context.Context, n *Node) {
-	if u.running != nil {
-		select {
-		case <-u.running:
-			u.running = nil
-		default:
-			return
-		}
+	if u.changing.busy() {
+		return
 	}
 	change := u.due(n, time.Now())
 	if change == nil {
 		return
 	}
-	running := make(chan struct{})
-	u.running = running
-	go func() {
-		defer close(running)
+	u.changing.start(func() {
 		defer n.wake()
-		ctx, cancel := context.WithTimeout(ctx, upkeepBudget)
-		defer cancel()
-		chosen, err := n.propose(ctx, change)
-		if err != nil {
-			return
-		}
-		n.options.Log.Debug("register: upkeep", zap.Uint64("revision", chosen.Value.Revision),
-			zap.Int("replicas", len(chosen.Value.Replicas)), zap.Bool("joint", chosen.Value.Joint()))
-	}()
+		n.upkeep(ctx, change)
+	})
+}
+
+// upkeep proposes a change of the set, or completes one that is in doubt.
+func (n *Node) upkeep(ctx context.Context, change Change) {
+	ctx, cancel := context.WithTimeout(ctx, upkeepBudget)
+	defer cancel()
+	chosen, err := n.propose(ctx, change)
+	if err != nil {
+		return
+	}
+	n.options.Log.Debug("register: upkeep", zap.Uint64("revision", chosen.Value.Revision),
+		zap.Int("replicas", len(chosen.Value.Replicas)), zap.Bool("joint", chosen.Value.Joint()))
 }
 
 // due returns the change to make now, nil if there is none.
