--- a/internal/controller/operator.go
+++ b/internal/controller/operator.go
@@ -14,6 +14,7 @@
 
 	"weldscale/coordination/register"
 	"weldscale/internal/fleetconfig"
+	"weldscale/internal/pause"
 )
 
 const (
@@ -119,7 +120,7 @@
 		if err == nil || isVerdict(err) || !doubtful {
 			return err
 		}
-		if !pause(ctx, doubtPause) {
+		if !pause.For(ctx, doubtPause) {
 			return err
 		}
 	}
@@ -207,22 +208,10 @@
 		if err == nil {
 			return decodeState(current.Data)
 		}
-		if !inTouch(a.node) || !pause(ctx, doubtPause) {
+		if !inTouch(a.node) || !pause.For(ctx, doubtPause) {
 			return controlState{}, err
 		}
 	}
 }
 
 func refuse(w http.ResponseWriter, status int, text string) { http.Error(w, text, status) }
-
-// pause waits, and reports whether the context is still good.
-func pause(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/controller/publish.go
+++ b/internal/controller/publish.go
@@ -9,6 +9,7 @@
 	"weldscale/coordination/lease"
 	"weldscale/coordination/register"
 	"weldscale/internal/fleetconfig"
+	"weldscale/internal/pause"
 )
 
 // syncPause separates the tries of the first read.
@@ -41,7 +42,7 @@
 			c.synced.Store(true)
 			return
 		}
-		if !pause(ctx, syncPause) {
+		if !pause.For(ctx, syncPause) {
 			return
 		}
 	}
--- a/internal/controller/simulation_losses_test.go
+++ b/internal/controller/simulation_losses_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"weldscale/coordination/sim/live"
+	"weldscale/internal/pause"
 )
 
 // everyStep is how many steps lie between the moments at which a second loss strikes. 1 plays each of them.
@@ -41,7 +42,7 @@
 	{"a planned replacement", func(s *simSite, hit *simMachine) {
 		s.startCore(s.addCore(false))
 		s.running.Go(func() {
-			pause(s.ended, time.Second)
+			pause.For(s.ended, time.Second)
 			s.terminate(hit)
 			if s.mayLose(1) {
 				s.endCore(hit, (*live.Machine).Wipe)
@@ -112,7 +113,7 @@
 			struck = true
 			s.logf("%s of %s", second.name, other.settings.NodeName)
 			end := second.strike(s, other)
-			pause(s.ended, secondOutage)
+			pause.For(s.ended, secondOutage)
 			if end != nil {
 				end()
 			}
--- a/internal/controller/simulation_operator_test.go
+++ b/internal/controller/simulation_operator_test.go
@@ -13,6 +13,7 @@
 	"github.com/samber/lo"
 
 	"weldscale/internal/fleetconfig"
+	"weldscale/internal/pause"
 )
 
 // Patience of the operators.
@@ -53,7 +54,7 @@
 func (o *simOperator) work(ctx context.Context) {
 	for ctx.Err() == nil {
 		rest := shortestRest + time.Duration(o.random.Int64N(int64(longestRest-shortestRest)))
-		if !pause(ctx, rest) {
+		if !pause.For(ctx, rest) {
 			return
 		}
 		o.losing = 0.4 * o.random.Float64()
@@ -121,7 +122,7 @@
 // backOff waits for a time that grows with the tries.
 func backOff(ctx context.Context, try int) {
 	const steps, step = 5, 50 * time.Millisecond
-	pause(ctx, time.Duration(1+min(try, steps))*step)
+	pause.For(ctx, time.Duration(1+min(try, steps))*step)
 }
 
 func verdictOf(status int) simVerdict {
--- a/internal/controller/simulation_troubles_test.go
+++ b/internal/controller/simulation_troubles_test.go
@@ -9,6 +9,7 @@
 
 	"weldscale/coordination/register"
 	"weldscale/coordination/sim/live"
+	"weldscale/internal/pause"
 )
 
 // Spans of the troubles.
@@ -77,7 +78,7 @@
 				next = end.at
 			}
 		}
-		alive := pause(ctx, max(0, time.Until(next)))
+		alive := pause.For(ctx, max(0, time.Until(next)))
 		ends = s.endDue(ends, !alive)
 		if !alive {
 			return
@@ -132,7 +133,7 @@
 	defer cancel()
 	select {
 	case <-s.acked:
-		pause(ctx, s.between(0, longestAckStrike))
+		pause.For(ctx, s.between(0, longestAckStrike))
 	case <-ctx.Done():
 	}
 }
@@ -241,7 +242,7 @@
 // wipeBesideCut has a machine miss changes behind a cut; then another loses its disk and the rest are dark for a while.
 func (s *simSite) wipeBesideCut(hit *simMachine) func() {
 	heal := s.cutFromCores(hit)
-	pause(s.ended, s.between(time.Second, longestOutage))
+	pause.For(s.ended, s.between(time.Second, longestOutage))
 	others := lo.Without(s.present(), hit)
 	if !s.mayLose(1) || len(others) == 0 {
 		return heal
@@ -263,7 +264,7 @@
 	}
 	s.endCore(hit, (*live.Machine).Wipe)
 	s.remove(hit)
-	pause(s.ended, time.Second)
+	pause.For(s.ended, time.Second)
 	s.startCore(s.addCore(false))
 	return nil
 }
@@ -274,7 +275,7 @@
 		return nil
 	}
 	s.startCore(s.addCore(false))
-	pause(s.ended, s.between(200*time.Millisecond, 2*time.Second))
+	pause.For(s.ended, s.between(200*time.Millisecond, 2*time.Second))
 	if !s.mayLose(1) {
 		return nil // others are lost by now: it stays
 	}
@@ -361,9 +362,9 @@
 		defer close(flapped)
 		for ctx.Err() == nil {
 			heal := s.cutFromCores(hit)
-			pause(ctx, s.between(0, flapSpan))
+			pause.For(ctx, s.between(0, flapSpan))
 			heal()
-			pause(ctx, s.between(0, flapSpan))
+			pause.For(ctx, s.between(0, flapSpan))
 		}
 	}()
 	return func() {
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"weldscale/internal/pause"
 )
 
 // Errors that callers tell apart.
@@ -123,7 +125,7 @@
 		return reply{}, eris.New("no controller is known")
 	}
 	last := "no controller answered"
-	pause := firstPause
+	wait := firstPause
 	for turn := 0; ; turn++ {
 		address := c.controls[turn%len(c.controls)]
 		answer, err := c.try(ctx, address, wanted)
@@ -135,10 +137,10 @@
 		default:
 			last = address + ": status " + strconv.Itoa(answer.status) + ": " + answer.text()
 		}
-		if !sleep(ctx, pause) {
+		if !pause.For(ctx, wait) {
 			return reply{}, eris.Wrap(ErrUnclear, last)
 		}
-		pause = min(2*pause, maxPause)
+		wait = min(2*wait, maxPause)
 	}
 }
 
@@ -178,15 +180,3 @@
 	}
 	return reply{status: response.StatusCode, location: response.Header.Get("Location"), body: body}, nil
 }
-
-// sleep waits, and reports whether the context is still good.
-func sleep(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/instances/poller.go
+++ b/internal/instances/poller.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"weldscale/internal/fleetwire"
+	"weldscale/internal/pause"
 )
 
 const (
@@ -69,7 +70,7 @@
 			failures++
 			p.complain(failures, err)
 		}
-		sleep(ctx, delay(failures, err))
+		pause.For(ctx, delay(failures, err))
 	}
 }
 
@@ -107,12 +108,3 @@
 	}
 	return min(firstRetry<<min(failures-1, 10), maxRetry)
 }
-
-func sleep(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/soak/machines.go
+++ b/internal/soak/machines.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"weldscale/internal/pause"
 	"weldscale/internal/standin/fleet"
 )
 
@@ -66,7 +67,7 @@
 	}
 	s.work.Go(func() {
 		s.await(process, ended)
-		wait(context.Background(), restartAfter)
+		pause.For(context.Background(), restartAfter)
 		s.mu.Lock()
 		delete(s.stopping, process)
 		s.restarts++
--- a/internal/soak/quota.go
+++ b/internal/soak/quota.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"weldscale/internal/pause"
 	"weldscale/internal/standin/fleet"
 )
 
@@ -24,27 +25,15 @@
 
 func throttleOne(ctx context.Context, process *fleet.Process, begin time.Duration, share float64) {
 	running := time.Duration(share * float64(quotaPeriod))
-	if !wait(ctx, begin) {
+	if !pause.For(ctx, begin) {
 		return
 	}
-	for wait(ctx, running) {
+	for pause.For(ctx, running) {
 		_ = process.Signal(syscall.SIGSTOP) // one that has ended needs none
-		again := wait(ctx, quotaPeriod-running)
+		again := pause.For(ctx, quotaPeriod-running)
 		_ = process.Signal(syscall.SIGCONT)
 		if !again {
 			return
 		}
 	}
 }
-
-// wait waits, and reports whether the context is still good.
-func wait(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"weldscale/internal/pause"
 	"weldscale/internal/standin/client"
 	"weldscale/internal/standin/fleet"
 	"weldscale/internal/standin/judge"
@@ -202,7 +203,7 @@
 
 // checkCalm waits until all machines are settled. Then a change has to be taken and to be in force everywhere in time.
 func (r *run) checkCalm(ctx context.Context) {
-	wait(ctx, settledAfter)
+	pause.For(ctx, settledAfter)
 	r.supervisor.checkRunning(r.processes())
 	config, probe := withProbe(configOf(r.operations.current.Version+1, 0))
 	acking, cancel := context.WithTimeout(ctx, ackWithin)
@@ -232,7 +233,7 @@
 		if result.Began.After(until) || ctx.Err() != nil {
 			return false
 		}
-		wait(ctx, probePause)
+		pause.For(ctx, probePause)
 	}
 }
 
--- a/internal/standin/client/client.go
+++ b/internal/standin/client/client.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"weldscale/internal/pause"
 	"weldscale/internal/standin/judge"
 	"weldscale/internal/standin/llmworker"
 	"weldscale/internal/standin/operator"
@@ -198,7 +199,7 @@
 		answer, retryAfter := q.try(ctx, out.Tries)
 		out.Tries++
 		out.Outcome, out.Status, out.Cause, out.First = q.outcome(answer), answer.Status, answer.cause, q.first
-		if !q.again(answer) || !pause(ctx, min(retryAfter, q.left()/3)) {
+		if !q.again(answer) || !pause.For(ctx, min(retryAfter, q.left()/3)) {
 			break
 		}
 	}
@@ -337,15 +338,3 @@
 	q.had = piece.To
 	got.Pieces = append(got.Pieces, piece)
 }
-
-// pause waits, and reports whether the context is still good.
-func pause(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return ctx.Err() == nil
-	}
-}
