--- a/cmd/weldscale/known_red_test.go
+++ b/cmd/weldscale/known_red_test.go
@@ -12,8 +12,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// The list of tests that are known to fail is read as it says: a line too many, one without cause or issue and a test that
-// there is not are faults; what it names is left out of the verdict and printed with its result; nothing else is.
+// The list of tests that are known to fail is read as it says: a line too many, one without command, finding or issue and a
+// test that there is not are faults; what it names is left out of the verdict and printed with its result; nothing else is.
 func TestKnownRed(t *testing.T) {
 	script, err := filepath.Abs("../../.ci/known-red")
 	require.NoError(t, err)
@@ -24,15 +24,21 @@
 		ok   bool
 		want []string
 	}{
-		"no list":         {"", false, []string{"TestRed"}},
-		"the red one":     {"TestRed | it is so | 7\n", true, []string{"TestRed is red still", "it is so"}},
-		"a green one":     {"TestRed | it is so | #7\nTestGreen\twas so\t8\n", true, []string{"TestGreen has turned green", "TestRed is red still"}},
-		"another is red":  {"TestGreen | was so | 8\n", false, []string{"TestRed"}},
-		"no cause":        {"TestRed |  | 7\n", false, []string{"is not"}},
-		"no issue":        {"TestRed | it is so\n", false, []string{"is not"}},
-		"no such test":    {"TestRedd | it is so | 7\n", false, []string{"no test TestRedd"}},
-		"a fourth line":   {"TestRed | a | 1\nTestGreen | a | 1\nTestA | a | 1\nTestB | a | 1\n", false, []string{"three at most"}},
-		"a part of names": {"TestGreen | a | 1\nTestRe | a | 1\n", false, []string{"no test TestRe"}},
+		"no list":     {"", false, []string{"TestRed"}},
+		"the red one": {"TestRed | go test, seed 1 | it is so | 7\n", true, []string{"TestRed is red still", "go test, seed 1", "it is so"}},
+		"a green one": {"TestRed | go test | it is so | #7\nTestGreen\tgo test\twas so\t8\n", true,
+			[]string{"TestGreen has turned green", "TestRed is red still"}},
+		"empty lines, no last line end": {"\nTestRed | go test | it is so | 7", true, []string{"TestRed is red still"}},
+		"another is red":                {"TestGreen | go test | was so | 8\n", false, []string{"TestRed"}},
+		"no command":                    {"TestRed |  | it is so | 7\n", false, []string{"is not"}},
+		"nothing seen":                  {"TestRed | go test |  | 7\n", false, []string{"is not"}},
+		"no issue":                      {"TestRed | go test | it is so\n", false, []string{"is not"}},
+		"the older form":                {"TestRed | it is so | 7\n", false, []string{"is not"}},
+		"a fifth field":                 {"TestRed | go test | it is so | 7 | more\n", false, []string{"is not"}},
+		"no such test":                  {"TestRedd | go test | it is so | 7\n", false, []string{"no test TestRedd"}},
+		"a fourth line": {"TestRed | a | a | 1\nTestGreen | a | a | 1\nTestA | a | a | 1\nTestB | a | a | 1\n", false,
+			[]string{"three at most"}},
+		"a part of names": {"TestGreen | a | a | 1\nTestRe | a | a | 1\n", false, []string{"no test TestRe"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
