Router: the log tells which configuration is applied, with how many routes

Cause: a router said which routes it left out, but not which version it routed by. Of requests that run at another service one could not tell a configuration that has not arrived from one that is there in part.

Change: "configuration applied" with version, routes and left_out, once for each new configuration.

Costs one line for each change.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -89,6 +89,10 @@
 	for _, fault := range faults {
 		r.options.Log.Warn("route left out", zap.Error(fault))
 	}
+	if previous == nil || previous.snapshot.Config != snapshot.Config {
+		r.options.Log.Info("configuration applied", zap.Int64("version", snapshot.Config.Version),
+			zap.Int("routes", next.table.Len()-len(faults)), zap.Int("left_out", len(faults)))
+	}
 	r.options.Placer.Update(snapshot)
 	r.view.Store(next)
 	if next.hasInstanceList() {
