Stand-in worker: requests with any path run

Cause: its ServeMux answers a path with an empty or a dot segment by a redirect of its own, so that a route with such a prefix could not be tried.

Change: only the worker's own calls go through the ServeMux.

--- a/internal/standin/llmworker/worker.go
+++ b/internal/standin/llmworker/worker.go
@@ -195,6 +195,8 @@
 // abortGrace is how long the handlers may take to abort their answers.
 const abortGrace = 100 * time.Millisecond
 
+// routes returns the handler of the worker's own calls and of requests. Requests don't go through the ServeMux, which answers
+// paths with empty or dot segments by a redirect.
 func (w *Worker) routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+w.config.HealthCheck, w.serveHealth)
@@ -203,8 +205,13 @@
 		mux.HandleFunc("POST /order", w.serveOrder)
 		mux.HandleFunc("DELETE /kv-handle/{id}", w.serveFreeHandle)
 	}
-	mux.HandleFunc("/", w.serveRequest)
-	return mux
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if _, pattern := mux.Handler(r); pattern == "" {
+			w.serveRequest(rw, r)
+			return
+		}
+		mux.ServeHTTP(rw, r)
+	})
 }
 
 // setCommonHeaders sets the headers that all answers have.
--- a/internal/standin/llmworker/worker_test.go
+++ b/internal/standin/llmworker/worker_test.go
@@ -94,6 +94,20 @@
 	require.Empty(t, f.judge.Report())
 }
 
+// A worker runs requests with any path. net/http's ServeMux would redirect these.
+func TestRequestsWithUnusualPathsRun(t *testing.T) {
+	f := newFixture(t)
+	w := f.start(Config{Name: "plain"})
+	for _, path := range []string{"//p/x", "/p//x", "/p/../x", "/-/p/x"} {
+		f.judge.Sent(judge.Request{ID: path, Services: []string{"s"}, Fingerprint: judge.Fingerprint("POST", path, []byte("body")),
+			At: time.Now()})
+		response, err := f.post(w, path, "body", "Request-Id", path)
+		f.body(response, err)
+		require.Equal(t, http.StatusOK, response.StatusCode, path)
+	}
+	require.Empty(t, f.judge.Report())
+}
+
 func TestPromptIsPrefilledAndDecodedByDifferentWorkers(t *testing.T) {
 	f := newFixture(t)
 	prefill := f.start(Config{Name: "p", Engine: withStage(engine.StagePrefill)})
