Routers take every acknowledged route: one rule for routes, byte by byte

Cause: controllers accept a configuration by internal/fleetconfig, routers built their table with internal/route, the table of the scheduler that stands alone. That table has rules of its own: it reserves /-/ (where the scheduler has its calls), refuses hosts with a port, brackets, a last dot or other bytes than letters, digits, - and _, and prefixes with ?, # or a space; takes /orders// for /orders/; reads *.x as a wildcard and an empty host as any. What it refused was left out with a log line at the router.

"configuration applied" says version 2, routes 6, left_out 2 at each router 0.1 s after the acknowledgement. So the change had arrived (propagation is ruled out), its other routes were served, and two were never in the table (a wrong lookup of the path, or a wrong pick of the service, is ruled out). "route left out" names /-/ as the reason. - The new tests failed: TestEveryAcceptedRouteIsServed and TestRouteIsOfTheRequestedHost on their first cases, TestRoutingOfAcceptedConfigurations (any accepted configuration against the rule of the protocol) after 3 draws, TestEveryAcknowledgedRouteIsServed (real processes) on the route that has a host of its own.

Fix: internal/fleetroute holds the protocol's rule, for both sides: the key by which fleetconfig finds two routes alike is the key under which a router's table holds them. The table refuses nothing, so nothing can be accepted by one and left out by the other, and newView returns no faults any more.

internal/route stays as it is for the scheduler that stands alone: there its check stands where the file is accepted, and refuses the file.

--- a/internal/fleetconfig/parse.go
+++ b/internal/fleetconfig/parse.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"weldscale/internal/fleetconfig/fleetconfigpb"
+	"weldscale/internal/fleetroute"
 	"weldscale/internal/fleetwire"
 )
 
@@ -75,20 +76,17 @@
 // absent reports whether a JSON value is missing or null.
 func absent(value json.RawMessage) bool { return len(value) == 0 || string(value) == "null" }
 
-// routeKey identifies a route. It must be unique in a configuration.
-type routeKey struct{ hostname, pathPrefix string }
-
 func checkRoutes(message *fleetconfigpb.Config) error {
 	services := make(map[string]bool, len(message.GetServices()))
 	for _, service := range message.GetServices() {
 		services[service.GetName()] = true
 	}
-	routeNames := make(map[routeKey]string, len(message.GetRoutes()))
+	routeNames := make(map[fleetroute.Key]string, len(message.GetRoutes()))
 	for _, route := range message.GetRoutes() {
 		if err := checkRoute(route, services); err != nil {
 			return err
 		}
-		key := routeKey{strings.ToLower(route.GetHostname()), route.GetPathPrefix()}
+		key := fleetroute.NewKey(route.GetHostname(), route.GetPathPrefix())
 		if other, found := routeNames[key]; found {
 			return routeError(KindDuplicateRoute, route, "PathPrefix", "host and prefix are those of route "+other)
 		}
--- a/internal/router/ingress_test.go
+++ b/internal/router/ingress_test.go
@@ -25,8 +25,8 @@
 	for i, prefix := range prefixes {
 		config.Routes = append(config.Routes, fleetwire.Route{Name: itoa(i), Hostname: "A.example", PathPrefix: prefix})
 	}
-	built, faults := newView(nil, &watch.Snapshot{Config: config})
-	require.Empty(t, faults)
+	built := newView(nil, &watch.Snapshot{Config: config})
+	require.Equal(t, len(prefixes), built.table.Len(), "every route must be in the table")
 	return built
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -85,13 +85,10 @@
 	if previous != nil && snapshot.Version.ConfigRevision < previous.snapshot.Version.ConfigRevision {
 		return
 	}
-	next, faults := newView(previous, snapshot)
-	for _, fault := range faults {
-		r.options.Log.Warn("route left out", zap.Error(fault))
-	}
+	next := newView(previous, snapshot)
 	if previous == nil || previous.snapshot.Config != snapshot.Config {
 		r.options.Log.Info("configuration applied", zap.Int64("version", snapshot.Config.Version),
-			zap.Int("routes", next.table.Len()-len(faults)), zap.Int("left_out", len(faults)))
+			zap.Int("routes", next.table.Len()))
 	}
 	r.options.Placer.Update(snapshot)
 	r.view.Store(next)
--- a/internal/router/routes.go
+++ b/internal/router/routes.go
@@ -3,19 +3,17 @@
 import (
 	"hash/fnv"
 	"math/rand/v2"
-	"strconv"
-	"strings"
 
 	"weldscale/coordination/watch"
+	"weldscale/internal/fleetroute"
 	"weldscale/internal/fleetwire"
 	"weldscale/internal/placement"
-	"weldscale/internal/route"
 )
 
 // view is one snapshot with the lookup tables derived from it. Each request is handled with one view. It is immutable.
 type view struct {
 	snapshot   *watch.Snapshot
-	table      *route.Table
+	table      *fleetroute.Table
 	services   map[string]*fleetwire.Service
 	addresses  map[string]bool          // addresses of all listed workers
 	hasPrefill map[string]bool          // services with a ready prefill worker
@@ -26,14 +24,12 @@
 type readyInstance struct{ id string }
 
 // newView derives a view from a snapshot. It reuses the routing table of the previous view if the configuration is the same.
-// It returns the faults of the routes that were left out.
-func newView(previous *view, snapshot *watch.Snapshot) (*view, []error) {
+func newView(previous *view, snapshot *watch.Snapshot) *view {
 	next := &view{snapshot: snapshot}
-	var faults []error
 	if previous != nil && previous.snapshot.Config == snapshot.Config {
 		next.table, next.services = previous.table, previous.services
 	} else {
-		next.table, faults = newRouteTable(snapshot.Config.Routes)
+		next.table = fleetroute.NewTable(snapshot.Config.Routes)
 		next.services = make(map[string]*fleetwire.Service, len(snapshot.Config.Services))
 		for i := range snapshot.Config.Services {
 			service := &snapshot.Config.Services[i]
@@ -41,7 +37,7 @@
 		}
 	}
 	next.indexInstances(snapshot.Instances)
-	return next, faults
+	return next
 }
 
 func (v *view) indexInstances(instances []fleetwire.Instance) {
@@ -61,38 +57,8 @@
 	}
 }
 
-// newRouteTable builds the routing table. Each rule's service is the index of its route in the configuration.
-func newRouteTable(routes []fleetwire.Route) (*route.Table, []error) {
-	rules := make([]route.Rule, len(routes))
-	for i := range routes {
-		rules[i] = route.Rule{
-			Service:  strconv.Itoa(i),
-			Host:     routes[i].Hostname,
-			Path:     routes[i].PathPrefix,
-			Position: routes[i].Name,
-		}
-	}
-	return route.New(rules)
-}
-
 // findRoute returns the route for a request's host and path, or nil.
-func (v *view) findRoute(host, path string) *fleetwire.Route {
-	// A route's prefix ends with a slash, so only the path up to its last slash can match. The rest must be cut off, because
-	// the table matches "/a" with the prefix "/a/".
-	directory := path[:strings.LastIndexByte(path, '/')+1]
-	if directory == "" {
-		return nil
-	}
-	ruleService, miss := v.table.Match(route.Request{Host: host, Path: directory})
-	if miss != route.Matched {
-		return nil
-	}
-	index, err := strconv.Atoi(ruleService)
-	if err != nil {
-		return nil
-	}
-	return &v.snapshot.Config.Routes[index]
-}
+func (v *view) findRoute(host, path string) *fleetwire.Route { return v.table.Find(host, path) }
 
 // pickService picks the service of a request at random by the route's weights. A sticky route picks the same service for all
 // requests of a session. A route with one service ignores the weight. pickService returns nil if none of several services has
--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -259,6 +259,35 @@
 	fleet.requireNoViolation()
 }
 
+// TestEveryAcknowledgedRouteIsServed guards against routes that a controller acknowledges and routers leave out, so that another
+// service runs their requests or nobody does.
+func TestEveryAcknowledgedRouteIsServed(t *testing.T) {
+	f := startTestFleet(t, Options{})
+	next := SmallSiteConfig(2)
+	var added []*client.Kind
+	addRoute := func(hostname, prefix, service string) {
+		kind := *kindNamed(KindPlainSafe)
+		kind.Name, kind.Services = fmt.Sprintf("added-%d", len(added)), []string{service}
+		kind.Route.Name, kind.Route.Hostname, kind.Route.PathPrefix, kind.Route.Service = "r-"+kind.Name, hostname, prefix, service
+		next.Routes = append(next.Routes, kind.Route)
+		added = append(added, &kind)
+	}
+	addRoute(Host, "/", ServicePlain)
+	addRoute(Host, "/-/orders/", ServiceOther)
+	addRoute(Host, "/orders/", ServicePlain)
+	addRoute(Host, "/orders//", ServiceOther)
+	addRoute("orders.example", "/-/orders/", ServiceOther)
+	addRoute("orders.example:8080", "/-/orders/", ServicePlain)
+	f.replaceConfig(1, next)
+	f.awaitServed(added...)
+	for _, kind := range added {
+		for _, frontend := range f.FrontendAddresses() {
+			require.LessOrEqual(t, f.sendTo(frontend, kind).Outcome, client.Late, kind.Route.Hostname+kind.Route.PathPrefix)
+		}
+	}
+	f.requireNoViolation()
+}
+
 func TestKilledControllerCatchesUpAfterRestart(t *testing.T) {
 	f := startTestFleet(t, Options{})
 	f.startLoad(SmallSiteKinds())
