weldfleet config diff tells routes apart as the controllers do

What callers saw: of two accepted routes whose hosts and prefixes make the same text when joined (shop.example/proofs with /, shop.example with /proofs/), the diff showed one.

Cause: the diff had a key of its own, host and prefix joined; the check of a configuration compares them apart.

Fix: both use fleetroute.Key.

Result: TestDiffTellsRoutesApartAsParseDoes failed before (the removed route was listed as eleven changes of the other one) and passes. Found by reading; hosts with a slash are not known to be in use.

--- a/internal/fleetconfig/diff.go
+++ b/internal/fleetconfig/diff.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 
+	"weldscale/internal/fleetroute"
 	"weldscale/internal/fleetwire"
 )
 
@@ -24,8 +25,9 @@
 func Diff(old, next *fleetwire.Config) []Difference {
 	differences := diffFields("version", "", versionOnly{old.Version}, versionOnly{next.Version})
 	differences = append(differences, diffFields("limits", "", old.Limits, next.Limits)...)
-	differences = append(differences, diffItems("service", servicesByName(old), servicesByName(next))...)
-	return append(differences, diffItems("route", routesByKey(old), routesByKey(next))...)
+	serviceName := func(name string) string { return name }
+	differences = append(differences, diffItems("service", servicesByName(old), servicesByName(next), serviceName)...)
+	return append(differences, diffItems("route", routesByKey(old), routesByKey(next), routeName)...)
 }
 
 // versionOnly wraps a version for diffFields. The field name appears in the output.
@@ -39,27 +41,30 @@
 	return byName
 }
 
-func routesByKey(config *fleetwire.Config) map[string]fleetwire.Route {
-	byKey := make(map[string]fleetwire.Route, len(config.Routes))
+func routesByKey(config *fleetwire.Config) map[fleetroute.Key]fleetwire.Route {
+	byKey := make(map[fleetroute.Key]fleetwire.Route, len(config.Routes))
 	for _, route := range config.Routes {
-		byKey[strings.ToLower(route.Hostname)+route.PathPrefix] = route
+		byKey[fleetroute.NewKey(route.Hostname, route.PathPrefix)] = route
 	}
 	return byKey
 }
 
-// diffItems compares the items of equal name and reports items that exist on one side only.
-func diffItems[Item any](part string, old, next map[string]Item) []Difference {
+func routeName(key fleetroute.Key) string { return key.Host + key.PathPrefix }
+
+// diffItems compares the items of equal key and reports items that exist on one side only. nameOf returns the name of an item in
+// the differences.
+func diffItems[Key comparable, Item any](part string, old, next map[Key]Item, nameOf func(Key) string) []Difference {
 	var differences []Difference
-	for name, item := range old {
-		if other, found := next[name]; found {
-			differences = append(differences, diffFields(part, name, item, other)...)
+	for key, item := range old {
+		if other, found := next[key]; found {
+			differences = append(differences, diffFields(part, nameOf(key), item, other)...)
 		} else {
-			differences = append(differences, Difference{Part: part, Name: name, What: "removed"})
+			differences = append(differences, Difference{Part: part, Name: nameOf(key), What: "removed"})
 		}
 	}
-	for name := range next {
-		if _, found := old[name]; !found {
-			differences = append(differences, Difference{Part: part, Name: name, What: "added"})
+	for key := range next {
+		if _, found := old[key]; !found {
+			differences = append(differences, Difference{Part: part, Name: nameOf(key), What: "added"})
 		}
 	}
 	slices.SortStableFunc(differences, func(a, b Difference) int { return strings.Compare(a.Name, b.Name) })
--- a/internal/fleetconfig/diff_test.go
+++ b/internal/fleetconfig/diff_test.go
@@ -27,6 +27,15 @@
 	}, Diff(old, next))
 }
 
+// TestDiffTellsRoutesApartAsParseDoes guards against two accepted routes that the diff takes for one.
+func TestDiffTellsRoutesApartAsParseDoes(t *testing.T) {
+	old, next := exampleConfig(), exampleConfig()
+	old.Routes[0].Hostname, old.Routes[0].PathPrefix = "shop.example/proofs", "/"
+	old.Routes[1].Hostname, old.Routes[1].PathPrefix = "shop.example", "/proofs/"
+	next.Routes = old.Routes[:1]
+	assert.Equal(t, []Difference{{Part: "route", Name: "shop.example/proofs/", What: "removed"}}, Diff(old, next))
+}
+
 func TestDiffOfEqualConfigurationsIsEmpty(t *testing.T) {
 	assert.Empty(t, Diff(exampleConfig(), exampleConfig()))
 	assert.Empty(t, Diff(&fleetwire.Config{}, &fleetwire.Config{}))
