Of services with one name, every program reads the last

The protocol doesn't call two services of one name invalid, so they are acknowledged. Routers took the last one, the rebalancer planned for both, in turn and with one state: with an engine in one of them only, it ordered stages for a service that routers serve without stages.

Cause: each program made its own index of the list, and the list could hold a name twice.

Fix: the conversion that all programs read keeps the last of each name, which is what routers took.

Result: TestServicesOfOneNameAreReadAsTheLast failed before (three services) and passes.

--- a/internal/fleetconfig/convert.go
+++ b/internal/fleetconfig/convert.go
@@ -14,7 +14,7 @@
 	return &fleetwire.Config{
 		Version:  message.GetVersion(),
 		Routes:   convertAll(message.GetRoutes(), convertRoute),
-		Services: convertAll(message.GetServices(), convertService),
+		Services: convertAll(lastOfEachName(message.GetServices()), convertService),
 		Limits:   convertLimits(message.GetLimits()),
 	}
 }
@@ -81,6 +81,16 @@
 	return fractionScale / sum
 }
 
+// lastOfEachName returns the services without those that a later one of the same name replaces. The protocol allows them, and
+// all programs must read the same one.
+func lastOfEachName(services []*fleetconfigpb.Service) []*fleetconfigpb.Service {
+	last := make(map[string]int, len(services))
+	for i, service := range services {
+		last[service.GetName()] = i
+	}
+	return lo.Filter(services, func(service *fleetconfigpb.Service, i int) bool { return last[service.GetName()] == i })
+}
+
 func convertService(service *fleetconfigpb.Service) fleetwire.Service {
 	return fleetwire.Service{
 		Name:           service.GetName(),
--- a/internal/fleetconfig/parse_test.go
+++ b/internal/fleetconfig/parse_test.go
@@ -127,6 +127,13 @@
 	}
 }
 
+// TestServicesOfOneNameAreReadAsTheLast guards against programs that take different ones of two services with one name.
+func TestServicesOfOneNameAreReadAsTheLast(t *testing.T) {
+	config, err := Parse([]byte(replaced(t, services, `{"Name":"plain","MaxConnections":1,"Engine":{"Slots":1}},`+services)))
+	require.NoError(t, err)
+	assert.Equal(t, exampleConfig().Services, config.Services)
+}
+
 func TestParseAcceptsWhatTheProtocolAllows(t *testing.T) {
 	for _, test := range []struct{ name, old, changed string }{
 		{"unknown keys", `"Version":7`, `"Version":7,"Later":{"a":[1,2]}`},
