weldfleet config check refuses what controllers refuse for its size

What callers saw: a configuration of more than 4 MiB passes config check ("check a configuration as the controllers would") and gets 413 when sent. Found by reading for two parts that accept by different rules.

Cause: the bound of 4 MiB stood in the controller's handler, the tool had one of 64 MiB for itself.

The handler still stops reading at it.

Result: TestConfigCheckRefusesWhatIsTooLarge failed before (exit 0 for a byte over the bound) and passes; the controller's test is as it was.

--- a/cmd/weldfleet/config.go
+++ b/cmd/weldfleet/config.go
@@ -21,8 +21,7 @@
 	flagBase = "base"
 
 	// stdinPath given as a file name means standard input.
-	stdinPath      = "-"
-	maxConfigBytes = 64 << 20
+	stdinPath = "-"
 )
 
 func configCommand() *cli.Command {
@@ -225,7 +224,7 @@
 	if path != stdinPath {
 		return os.ReadFile(path)
 	}
-	return io.ReadAll(io.LimitReader(command.Root().Reader, maxConfigBytes))
+	return io.ReadAll(io.LimitReader(command.Root().Reader, fleetconfig.MaxBytes+1))
 }
 
 func printLine(command *cli.Command, format string, values ...any) error {
--- a/cmd/weldfleet/main_test.go
+++ b/cmd/weldfleet/main_test.go
@@ -121,6 +121,18 @@
 	assert.Equal(t, 1, strings.Count(stderr, "\n"))
 }
 
+// TestConfigCheckRefusesWhatIsTooLarge guards against a check that passes a configuration which controllers refuse for its size.
+func TestConfigCheckRefusesWhatIsTooLarge(t *testing.T) {
+	padded := firstConfig + strings.Repeat(" ", fleetconfig.MaxBytes-len(firstConfig))
+	code, _, _ := run(t, padded, "config", "check", "-")
+	assert.Equal(t, exitOK, code)
+	for _, arguments := range [][]string{{"config", "check", "-"}, {"config", "check", writeTempFile(t, padded+" ")}} {
+		code, _, stderr := run(t, padded+" ", arguments...)
+		assert.Equal(t, exitFailed, code)
+		assert.Contains(t, stderr, "too-large")
+	}
+}
+
 func TestConfigPutGetAndDiff(t *testing.T) {
 	fake := newFakeController(t)
 	controlFlag := "--control=" + fake.address
--- a/internal/controller/operator.go
+++ b/internal/controller/operator.go
@@ -23,7 +23,6 @@
 
 	headerBase = "Base-Version"
 
-	maxConfigBytes = 4 << 20
 	// changeTimeout bounds the work for one change. It is within AckMs and long enough to tolerate a replica that hangs.
 	changeTimeout = 3 * time.Second
 	// attemptTimeout bounds one attempt of a change or a read. It is above the timeout of a round of the register.
@@ -72,7 +71,7 @@
 		writeError(w, http.StatusBadRequest, headerBase+" is not a version")
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxConfigBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, fleetconfig.MaxBytes))
 	if err != nil {
 		writeError(w, bodyStatus(err), "the configuration could not be read whole")
 		return
--- a/internal/controller/operator_test.go
+++ b/internal/controller/operator_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"weldscale/coordination/register"
+	"weldscale/internal/fleetconfig"
 )
 
 // fakeRegister is an in-memory register. A test sets the outcomes of its updates.
@@ -242,7 +243,7 @@
 }
 
 func TestReplaceRejectsTooLargeBody(t *testing.T) {
-	body := configBody(3) + strings.Repeat(" ", maxConfigBytes)
+	body := configBody(3) + strings.Repeat(" ", fleetconfig.MaxBytes)
 	require.Equal(t, http.StatusRequestEntityTooLarge, sendChange(newFakeRegister(), "0", body).Code)
 }
 
--- a/internal/fleetconfig/errors.go
+++ b/internal/fleetconfig/errors.go
@@ -19,6 +19,7 @@
 	KindUnknownService                 // a route names a service that does not exist
 	KindWeights                        // the weights of a route sum to 0, or a weight is negative or infinite
 	KindDuplicateRoute                 // two routes have the same hostname and path prefix
+	KindTooLarge                       // the configuration is larger than MaxBytes
 )
 
 // kinds maps each kind to its name and its HTTP status.
@@ -34,6 +35,7 @@
 	KindUnknownService: {"unknown-service", http.StatusBadRequest},
 	KindWeights:        {"weights", http.StatusBadRequest},
 	KindDuplicateRoute: {"duplicate-route", http.StatusBadRequest},
+	KindTooLarge:       {"too-large", http.StatusRequestEntityTooLarge},
 }
 
 // String returns the name of the kind.
--- a/internal/fleetconfig/parse.go
+++ b/internal/fleetconfig/parse.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"math"
+	"strconv"
 	"strings"
 
 	"google.golang.org/protobuf/encoding/protojson"
@@ -14,8 +15,14 @@
 	"weldscale/internal/fleetwire"
 )
 
+// MaxBytes is the maximum size of a configuration in bytes.
+const MaxBytes = 4 << 20
+
 // Parse decodes and validates a configuration. All errors are of type *Error.
 func Parse(body []byte) (*fleetwire.Config, error) {
+	if len(body) > MaxBytes {
+		return nil, &Error{Kind: KindTooLarge, Detail: "more than " + strconv.Itoa(MaxBytes) + " bytes"}
+	}
 	var message fleetconfigpb.Config
 	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(body, &message); err != nil {
 		return nil, &Error{Kind: KindUnreadable, Detail: trimPrefix(err)}
