Router: a path that begins with two slashes reaches the worker unchanged

Cause: net/http reads an Opaque that begins with // as an authority, so workerURL gave such a target as Path and RawPath, both in the encoded form. url.URL sends RawPath only if it is an encoding of Path; with a percent sign it is not, and Path is encoded once more.

Ruled out: the way in (the route is looked up by the raw path, and paths with one slash and a percent sign pass) and the connection pool (it sends what workerURL says).

Fix: Path is the decoded form. What net/http would still change (a path with // and bytes that no path may have) is refused with 400 before a worker sees it. A target in authority form (CONNECT) was looked up as "/"; it is taken as sent.

--- a/internal/router/ingress.go
+++ b/internal/router/ingress.go
@@ -35,6 +35,10 @@
 		writeErrorResponse(w, id, ErrorHeaderTooLarge, 0)
 		return
 	}
+	if !relaysUnchanged(wireTarget(incoming)) {
+		writeErrorResponse(w, id, ErrorTargetUnsupported, 0)
+		return
+	}
 	chosen := current.findRoute(incoming.Host, wirePath(incoming))
 	if chosen == nil {
 		writeErrorResponse(w, id, ErrorNoRoute, 0)
@@ -121,21 +125,30 @@
 
 // wireTarget returns the path and the query exactly as the client sent them.
 func wireTarget(incoming *http.Request) string {
-	if strings.HasPrefix(incoming.RequestURI, "/") {
-		return incoming.RequestURI
+	if incoming.URL.Scheme != "" { // the absolute form of a target, which also names the host
+		return incoming.URL.RequestURI()
 	}
-	return incoming.URL.RequestURI()
+	return incoming.RequestURI
 }
 
-// workerURL returns the URL for requesting the same path and query from a worker, unchanged byte for byte.
+// workerURL returns the URL for requesting the same path and query from a worker, unchanged byte for byte if relaysUnchanged.
 func workerURL(address, target string) *url.URL {
-	if strings.HasPrefix(target, "//") { // net/http would parse this Opaque as an authority
-		path, query, found := strings.Cut(target, "?")
-		return &url.URL{Scheme: "http", Host: address, Path: path, RawPath: path, RawQuery: query, ForceQuery: found && query == ""}
+	if !strings.HasPrefix(target, "//") {
+		return &url.URL{Scheme: "http", Host: address, Opaque: target}
 	}
-	return &url.URL{Scheme: "http", Host: address, Opaque: target}
+	// net/http would send such an Opaque as an absolute form. It sends RawPath if that is an encoding of Path.
+	rawPath, query, found := strings.Cut(target, "?")
+	path, err := url.PathUnescape(rawPath)
+	if err != nil {
+		path = rawPath
+	}
+	return &url.URL{Scheme: "http", Host: address, Path: path, RawPath: rawPath, RawQuery: query, ForceQuery: found && query == ""}
 }
 
+// relaysUnchanged reports whether a worker reads the target as the client sent it. net/http encodes a path that begins with two
+// slashes once more if it has bytes that RFC 3986 does not allow in a path.
+func relaysUnchanged(target string) bool { return workerURL("", target).RequestURI() == target }
+
 // headerTooLarge reports whether the request target and header fields exceed the configured limit.
 func headerTooLarge(incoming *http.Request, limits *fleetwire.Limits) bool {
 	if limits.MaxHeaderBytes <= 0 {
--- a/internal/router/ingress_test.go
+++ b/internal/router/ingress_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -173,6 +174,60 @@
 	require.Greater(t, remainingMs, 1000)
 }
 
+// exchangeTarget sends a request with a target as it is, over a connection of its own, and returns the status of the answer.
+func (f *fixture) exchangeTarget(method, target, id string) int {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	require.NoError(f.t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(f.t, conn.SetDeadline(time.Now().Add(testTimeout)))
+	_, err = io.WriteString(conn, method+" "+target+" HTTP/1.1\r\nHost: a.example\r\nRequest-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(f.t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(f.t, err)
+	return response.StatusCode
+}
+
+// targetFixture returns a router with the route "/" and a worker that sends each target it reads to the channel.
+func targetFixture(t *testing.T) (*fixture, chan string) {
+	fixture := newFixture(t)
+	changed := *fixture.config // a view reuses the table of the same configuration
+	root := changed.Routes[0]
+	root.Name, root.PathPrefix = "root", "/"
+	changed.Routes = []fleetwire.Route{root}
+	fixture.config = &changed
+	targets := make(chan string, 1)
+	fixture.addRawWorker("", func(conn net.Conn, next func() *http.Request) {
+		for request := next(); request != nil; request = next() {
+			targets <- request.RequestURI
+			_, _ = io.WriteString(conn, validResponse(request.Header.Get("Request-Id"), "x"))
+		}
+	})
+	return fixture, targets
+}
+
+// TestWorkerReadsTargetOfClient guards against a path or query that is encoded or normalized on its way to the worker.
+func TestWorkerReadsTargetOfClient(t *testing.T) {
+	fixture, targets := targetFixture(t)
+	for i, target := range []string{
+		"/plates/2026/12?x=1%2F2", "/plates/2026%2F12", "/plates//2026%2f12", "/plates/../a%2E", "/-/x%20y?", "/a\"b|c",
+		"//plates/2026/12?x=1%2F2", "//plates/2026%2F12?x=1%2F2", "//plates/proof%20sheet", "//%25", "///a%2Fb?", "//a?b//c%20\"d",
+	} {
+		require.Equal(t, http.StatusOK, fixture.exchangeTarget(http.MethodPost, target, "id-"+itoa(i)), target)
+		require.Equal(t, target, <-targets)
+	}
+}
+
+// TestTargetThatWouldChangeIsRefused guards against a changed target where net/http can't send the client's.
+func TestTargetThatWouldChangeIsRefused(t *testing.T) {
+	fixture, targets := targetFixture(t)
+	for i, target := range []string{"//a\"b", "//a|b%2F", "//\xc3\xa9"} {
+		require.Equal(t, http.StatusBadRequest, fixture.exchangeTarget(http.MethodPost, target, "id-"+itoa(i)), target)
+	}
+	require.Equal(t, http.StatusNotFound, fixture.exchangeTarget(http.MethodConnect, "b.example:80", "id-connect"))
+	require.Empty(t, targets)
+}
+
 func TestDoubleSlashPathIsNotAnAuthority(t *testing.T) {
 	require.Equal(t, "//x/y?q=%20", workerURL("1.2.3.4:5", "//x/y?q=%20").RequestURI())
 	require.Equal(t, "/x%2F?q", workerURL("1.2.3.4:5", "/x%2F?q").RequestURI())
