Router: "OPTIONS *" gets no success that no worker has given

What callers saw: a client that asks "OPTIONS *" gets 200 without a Response-Signature (MIXED), also where no route is configured.

Cause: net/http's server answers this request by itself, before the handler.

Fix: that handler is switched off; the request is looked up as any other, and no prefix begins "*", so it gets 404.

Result: TestServerOptionsRequestIsNotAnsweredAsServed failed before (200) and passes.

--- a/internal/router/ingress_test.go
+++ b/internal/router/ingress_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
@@ -218,6 +219,17 @@
 	}
 }
 
+// TestServerOptionsRequestIsNotAnsweredAsServed guards against a success that no worker has given: net/http's own 200.
+func TestServerOptionsRequestIsNotAnsweredAsServed(t *testing.T) {
+	fixture := newFixture(t)
+	fixture.server.Close()
+	fixture.server = httptest.NewUnstartedServer(nil)
+	fixture.server.Config = fixture.router.newClientServer()
+	fixture.server.Start()
+	t.Cleanup(fixture.server.Close)
+	require.Equal(t, http.StatusNotFound, fixture.exchangeTarget(http.MethodOptions, "*", "id"))
+}
+
 // TestTargetThatWouldChangeIsRefused guards against a changed target where net/http can't send the client's.
 func TestTargetThatWouldChangeIsRefused(t *testing.T) {
 	fixture, targets := targetFixture(t)
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -90,7 +90,14 @@
 }
 
 func (r *Router) newClientServer() *http.Server {
-	return &http.Server{Handler: r, MaxHeaderBytes: maxHeaderBytes, ConnContext: r.conns.attach, ConnState: r.conns.track}
+	return &http.Server{
+		Handler:        r,
+		MaxHeaderBytes: maxHeaderBytes,
+		ConnContext:    r.conns.attach,
+		ConnState:      r.conns.track,
+		// Otherwise net/http answers "OPTIONS *" with a success of its own.
+		DisableGeneralOptionsHandler: true,
+	}
 }
 
 // follow applies the agent's snapshots to the router until ctx is done. Its polls carry the router's observations of workers,
