Placement: routes beyond the class limit keep their type and priority

A router's dispatchers keep 512 classes of jobs, one for each repeatability, priority and pair of times. Once a configuration, or the changes of a process's life, had brought more, every further job was treated as one that may run once only and is due in a second: a safe route's job was not sent again, an idle one went as the most urgent.

Cause: the number 0 stood for "no class left", and is the default class.

Fix: such a job uses the most similar class: the same repeatability, then the nearest priority, then the nearest times.

Below the limit nothing changes.

--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -24,7 +25,7 @@
 	maxPushes         = 8                     // limit for one stage of a request, including pushes rejected without a run
 	runGuessDivisor   = 4                     // before the first jobs, a stage is assumed to take the target latency divided by this
 	probeLatencyNoise = 30 * time.Millisecond // delay that a router on a shared core may itself add to a probe
-	maxClasses        = 512                   // jobs share a class beyond it, since routes change and classes are never removed
+	maxClasses        = 512                   // jobs beyond it use a similar class, since routes change and classes are never removed
 )
 
 // pool chooses workers for the jobs of one service and stage. It drives a dispatcher: it serializes the calls, provides the
@@ -218,7 +219,7 @@
 		return class
 	}
 	if len(p.classes) >= maxClasses {
-		return 0
+		return p.similarClass(key)
 	}
 	expectedRun := time.Duration(job.Route.TargetLatencyMs) * time.Millisecond / runGuessDivisor
 	class = p.dispatcher.AddClass(key.class(), expectedRun.Microseconds())
@@ -226,6 +227,36 @@
 	return class
 }
 
+// similarClass returns the class most like a key that gets none of its own: by repeatability, then priority, then times.
+func (p *pool) similarClass(key classKey) int {
+	best, bestClass := classKey{}, -1
+	for candidate, class := range p.classes {
+		order := key.compareLikeness(candidate, best)
+		if bestClass < 0 || order < 0 || order == 0 && class < bestClass {
+			best, bestClass = candidate, class
+		}
+	}
+	return bestClass
+}
+
+// compareLikeness returns a negative number if a is more like the key than b, and a positive one if b is.
+func (k classKey) compareLikeness(a, b classKey) int {
+	differs := func(other classKey) int {
+		if other.repeatable != k.repeatable {
+			return 1
+		}
+		return 0
+	}
+	times := func(other classKey) time.Duration {
+		return (k.deadline - other.deadline).Abs() + (k.targetLatency - other.targetLatency).Abs()
+	}
+	return cmp.Or(
+		cmp.Compare(differs(a), differs(b)),
+		cmp.Compare(max(k.priority-a.priority, a.priority-k.priority), max(k.priority-b.priority, b.priority-k.priority)),
+		cmp.Compare(times(a), times(b)),
+	)
+}
+
 // removeJob forgets a job and stops its timers.
 func (p *pool) removeJob(id uint32) {
 	p.mu.Lock()
