Router: the path of an absolute target reaches the worker unchanged

What callers saw: a request whose target is in the absolute form (http://a.example/a"b|c) ran as /a%22b%7Cc.

Cause: the path came from net/url, which encodes what no path may have.

Fix: the target is cut after the host. A target with a scheme but no host finds no route.

--- a/internal/router/ingress.go
+++ b/internal/router/ingress.go
@@ -125,10 +125,19 @@
 
 // wireTarget returns the path and the query exactly as the client sent them.
 func wireTarget(incoming *http.Request) string {
-	if incoming.URL.Scheme != "" { // the absolute form of a target, which also names the host
-		return incoming.URL.RequestURI()
+	if incoming.URL.Scheme == "" || incoming.URL.Host == "" {
+		return incoming.RequestURI
 	}
-	return incoming.RequestURI
+	// The absolute form of a target, which also names the host. net/url may encode its path anew.
+	_, rest, _ := strings.Cut(incoming.RequestURI, "//")
+	start := strings.IndexAny(rest, "/?")
+	switch {
+	case start < 0:
+		return "/"
+	case rest[start] == '?':
+		return "/" + rest[start:]
+	}
+	return rest[start:]
 }
 
 // workerURL returns the URL for requesting the same path and query from a worker, unchanged byte for byte if relaysUnchanged.
--- a/internal/router/ingress_test.go
+++ b/internal/router/ingress_test.go
@@ -219,6 +219,18 @@
 	}
 }
 
+// TestWorkerReadsPathOfAbsoluteForm guards against a path that changes because the client named the host in the target.
+func TestWorkerReadsPathOfAbsoluteForm(t *testing.T) {
+	fixture, targets := targetFixture(t)
+	for target, want := range map[string]string{
+		"http://a.example/a%2Fb?x=%20": "/a%2Fb?x=%20", "http://a.example:80//a%2Fb": "//a%2Fb", "http://a.example/a\"b|c": "/a\"b|c",
+		"http://a.example": "/", "http://a.example?x=/y": "/?x=/y",
+	} {
+		require.Equal(t, http.StatusOK, fixture.exchangeTarget(http.MethodPost, target, "id-"+want), target)
+		require.Equal(t, want, <-targets)
+	}
+}
+
 // TestServerOptionsRequestIsNotAnsweredAsServed guards against a success that no worker has given: net/http's own 200.
 func TestServerOptionsRequestIsNotAnsweredAsServed(t *testing.T) {
 	fixture := newFixture(t)
@@ -237,6 +249,8 @@
 		require.Equal(t, http.StatusBadRequest, fixture.exchangeTarget(http.MethodPost, target, "id-"+itoa(i)), target)
 	}
 	require.Equal(t, http.StatusNotFound, fixture.exchangeTarget(http.MethodConnect, "b.example:80", "id-connect"))
+	require.Equal(t, http.StatusNotFound, fixture.exchangeTarget(http.MethodPost, "mailto:a", "id-opaque"))
+	require.Equal(t, http.StatusNotFound, fixture.exchangeTarget(http.MethodPost, "http:/a", "id-no-host"))
 	require.Empty(t, targets)
 }
 
