Register: the age of the state counts from the last agreement, not contact

Cause: subscribers were told QuorumAge, the time since a majority answered, also while one of these had reported an accepted value that this node lacks and that may have been chosen.

Fix: StateAge counts from the last report of a majority without a value above the one known to be chosen.

--- a/coordination/register/node.go
+++ b/coordination/register/node.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/samber/lo"
@@ -37,6 +38,7 @@
 	changed         chan struct{}    // closed and replaced when the known chosen revision grows
 	peers           map[string]*peer // by address
 	leaving         bool
+	ownAgreedAt     time.Time // when the own replica was last seen without a value above the chosen one
 }
 
 // Open loads the state from the disk. The node replies to requests once Register has mounted it, and sends heartbeats and
--- a/coordination/register/peers.go
+++ b/coordination/register/peers.go
@@ -26,6 +26,9 @@
 	id               string    // identity in the last reply
 	lastAnswered     time.Time // when the latest request with a reply was sent
 	accepted         Ballot    // accepted ballot in the last reply that reported one
+	reported         Ballot    // highest accepted or chosen ballot in the latest such reply
+	reportedAt       time.Time // when the request of that reply was sent
+	agreedAt         time.Time // latest reportedAt of a report that was not above the ballot that this node knew to be chosen
 	failedCalls      int       // consecutive calls without a reply
 	failingSince     time.Time // when the first of these calls ended
 	heartbeatPending bool      // a heartbeat is in flight
@@ -47,13 +50,16 @@
 	n.ballots.Observe(reply.Promised)
 	n.mu.Lock()
 	p := n.peerAt(address)
-	p.id = reply.From.ID
+	if p.id != reply.From.ID { // another disk: what the former one reported says nothing about it
+		p.id, p.reported, p.reportedAt, p.agreedAt = reply.From.ID, Ballot{}, time.Time{}, time.Time{}
+	}
 	p.failedCalls = 0
 	if p.lastAnswered.Before(sent) {
 		p.lastAnswered = sent
 	}
 	if reply.Refusal == NoRefusal && reply.Kind != FetchChosen && reply.Kind != Commit {
 		p.accepted = reply.Accepted
+		p.report(higher(reply.Accepted, reply.Chosen), sent, n.chosen.Ballot)
 	}
 	n.mu.Unlock()
 	if !n.confirmChosen(reply.Chosen) && reply.Kind != FetchChosen {
@@ -61,6 +67,28 @@
 	}
 }
 
+// report records the highest ballot of a value that the peer had when a request was sent. A reply that was overtaken by the reply
+// to a later request is ignored.
+func (p *peer) report(ballot Ballot, sent time.Time, chosen Ballot) {
+	if sent.Before(p.reportedAt) {
+		return
+	}
+	if !p.reportedAt.IsZero() && !chosen.Less(p.reported) {
+		p.agreedAt = p.reportedAt
+	}
+	p.reported, p.reportedAt = ballot, sent
+	if !chosen.Less(ballot) {
+		p.agreedAt = sent
+	}
+}
+
+func higher(a, b Ballot) Ballot {
+	if a.Less(b) {
+		return b
+	}
+	return a
+}
+
 // recordFailedCall records a call without a reply.
 func (n *Node) recordFailedCall(address string) {
 	n.mu.Lock()
@@ -104,22 +132,77 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
+	return n.majorityAge(func(replica Replica) time.Duration { return n.contactAge(replica, now) })
+}
+
+// maxCompletionTime is how long a replica may hold a newer value than the chosen one before StateAge counts it as missed by this node.
+// By then the value's proposer or, after doubtTimeout, another member has usually completed it.
+const maxCompletionTime = doubtTimeout + rankDelay
+
+// StateAge returns the time since Latest was last known to be the newest state: since a majority of the replicas last reported
+// no value above it. It differs from QuorumAge while a replica holds a newer value that may be chosen. A value that is being
+// written does not count, that is one of the last maxCompletionTime. StateAge returns NoContact if there was no such time.
+func (n *Node) StateAge() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	n.noteOwnAgreement(now)
+	return n.majorityAge(func(replica Replica) time.Duration { return n.agreementAge(replica, now) })
+}
+
+// noteOwnAgreement records that the own replica holds no value above the chosen one, if that is so. The caller holds n.mu.
+func (n *Node) noteOwnAgreement(now time.Time) {
+	if n.acceptor != nil && !n.chosen.Ballot.Less(n.acceptor.Accepted().Ballot) {
+		n.ownAgreedAt = now
+	}
+}
+
+// agreementAge returns the time since a replica last reported no value above the chosen one. The caller holds n.mu.
+func (n *Node) agreementAge(replica Replica, now time.Time) time.Duration {
+	if n.acceptor != nil && replica.ID == n.acceptor.Self().ID {
+		return ageOfAgreement(now, n.ownAgreedAt, now)
+	}
+	p := n.peers[replica.Address]
+	if p == nil || p.id != replica.ID || p.reportedAt.IsZero() {
+		return NoContact
+	}
+	if !n.chosen.Ballot.Less(p.reported) {
+		return now.Sub(p.reportedAt)
+	}
+	return ageOfAgreement(now, p.agreedAt, p.reportedAt)
+}
+
+// ageOfAgreement returns the age of the last agreement of a replica that holds a newer value, or the age of its last report
+// while that value may still be in flight.
+func ageOfAgreement(now, agreedAt, reportedAt time.Time) time.Duration {
+	switch {
+	case agreedAt.IsZero():
+		return NoContact
+	case now.Sub(agreedAt) <= maxCompletionTime:
+		return now.Sub(reportedAt)
+	}
+	return now.Sub(agreedAt)
+}
+
+// majorityAge returns the highest age within the majority of the replica set that has the lowest ones, by an age of each replica.
+// Of a joint value both sets need a majority. The caller holds n.mu.
+func (n *Node) majorityAge(ageOf func(Replica) time.Duration) time.Duration {
 	known := n.chosen.Value
 	if n.acceptor != nil && len(known.Replicas) == 0 {
 		known = n.acceptor.Accepted().Value
 	}
-	age := n.majorityAge(known.Replicas, now)
+	age := majorityAgeOf(known.Replicas, ageOf)
 	if known.Joint() {
-		age = max(age, n.majorityAge(known.Previous, now))
+		age = max(age, majorityAgeOf(known.Previous, ageOf))
 	}
 	return age
 }
 
-func (n *Node) majorityAge(replicas []Replica, now time.Time) time.Duration {
+func majorityAgeOf(replicas []Replica, ageOf func(Replica) time.Duration) time.Duration {
 	if len(replicas) == 0 {
 		return NoContact
 	}
-	ages := lo.Map(replicas, func(replica Replica, _ int) time.Duration { return n.contactAge(replica, now) })
+	ages := lo.Map(replicas, func(replica Replica, _ int) time.Duration { return ageOf(replica) })
 	slices.SortFunc(ages, cmp.Compare[time.Duration])
 	return ages[len(ages)/2] // the highest age in the most recent majority
 }
@@ -138,6 +221,9 @@
 // heartbeat sends a Query to the members, without waiting for the replies. If the node is not in the set or has lost its
 // quorum, heartbeat also queries the seeds and all known peers.
 func (n *Node) heartbeat() {
+	n.mu.Lock()
+	n.noteOwnAgreement(time.Now())
+	n.mu.Unlock()
 	known, _ := n.known()
 	addresses := lo.Map(known.Value.Members(), func(r Replica, _ int) string { return r.Address })
 	if !known.Value.HasReplica(n.ID()) || n.QuorumAge() > quorumLostAfter {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -107,14 +107,14 @@
 	}
 }
 
-// quorumAge returns the time since the last contact with a majority, for the replies to subscribers. Before the first read of
-// the register it returns register.NoContact: this controller may already exchange messages with the replicas, but it does
-// not know their state yet.
+// quorumAge returns the time since a majority last agreed with the state of this controller, for the replies to subscribers.
+// Before the first read of the register it returns register.NoContact: this controller may already exchange messages with the
+// replicas, but it does not know their state yet.
 func (c *controller) quorumAge() time.Duration {
 	if !c.synced.Load() {
 		return register.NoContact
 	}
-	return c.node.QuorumAge()
+	return c.node.StateAge()
 }
 
 // doubts returns the workers that routers of the subscriber's zone complain about.
--- a/internal/controller/operator_test.go
+++ b/internal/controller/operator_test.go
@@ -96,6 +96,8 @@
 
 func (f *fakeRegister) QuorumAge() time.Duration { return f.quorumAge }
 
+func (f *fakeRegister) StateAge() time.Duration { return f.quorumAge }
+
 func (f *fakeRegister) ReplicaSetInDoubt() bool { return false }
 
 func (f *fakeRegister) Close(context.Context) {}
--- a/internal/controller/register.go
+++ b/internal/controller/register.go
@@ -15,6 +15,7 @@
 	Latest() register.State
 	Changed() <-chan struct{}
 	QuorumAge() time.Duration
+	StateAge() time.Duration
 	ReplicaSetInDoubt() bool
 	WaitFormed(ctx context.Context) error
 	Leave(ctx context.Context) error
