Soak: the load has routes below /-/, with an empty segment and with a port

Guards against an acknowledged route that no router has, beside series of changes, signals and restarts.

--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -20,7 +20,15 @@
 	perSecond float64
 }{{600, 1}, {1500, 1}, {2300, 0.6}}
 
-// Kinds returns the request kinds of the small site, and streams of several seconds.
+// unusualRoutes are hosts and prefixes that a routing table might normalize, reserve or refuse.
+var unusualRoutes = []struct{ name, hostname, prefix string }{
+	{"below-dash", fleet.Host, "/-/below/"}, {"two-slashes", fleet.Host, "/two//"}, {"host-with-port", fleet.Host + ":8080", "/-/port/"},
+}
+
+// unusualPerSecond is the rate of each unusual route.
+const unusualPerSecond = 1
+
+// Kinds returns the request kinds of the small site, plain ones on unusual routes, and streams of several seconds.
 func Kinds() []*client.Kind {
 	kinds := fleet.SmallSiteKinds()
 	for _, kind := range kinds {
@@ -28,6 +36,12 @@
 			kind.Services = []string{fleet.ServicePlain, fleet.ServiceOther}
 		}
 	}
+	for _, unusual := range unusualRoutes {
+		kind := *kindNamed(kinds, fleet.KindPlainUnsafe)
+		kind.Name, kind.PerSecond = unusual.name, unusualPerSecond
+		kind.Route.Name, kind.Route.Hostname, kind.Route.PathPrefix = "r-"+unusual.name, unusual.hostname, unusual.prefix
+		kinds = append(kinds, &kind)
+	}
 	for _, long := range longStreams {
 		name := fmt.Sprintf("stream-%d", long.tokens)
 		kinds = append(kinds, &client.Kind{
@@ -42,6 +56,11 @@
 	return kinds
 }
 
+// kindNamed returns the kind with the given name, which must be among the kinds.
+func kindNamed(kinds []*client.Kind, name string) *client.Kind {
+	return kinds[slices.IndexFunc(kinds, func(kind *client.Kind) bool { return kind.Name == name })]
+}
+
 // baseConfig returns the first configuration.
 func baseConfig() operator.Config {
 	config := fleet.SmallSiteConfig(1)
@@ -83,12 +102,7 @@
 
 // withProbe adds a route that no earlier configuration had, and returns the request kind that uses it.
 func withProbe(config operator.Config) (operator.Config, *client.Kind) {
-	var probe client.Kind
-	for _, kind := range Kinds() {
-		if kind.Name == fleet.KindPlainSafe {
-			probe = *kind
-		}
-	}
+	probe := *kindNamed(Kinds(), fleet.KindPlainSafe)
 	probe.Name, probe.Retries = "probe", 0
 	probe.Route.Name, probe.Route.PathPrefix = "r-probe", "/probe/"
 	config.Routes = append(config.Routes, probe.Route)
