Router: the limit of a request's head is the configuration's

A configuration with MaxHeaderBytes above 256 KiB is acknowledged, and routers refused heads above some 260 KiB, the fixed limit of their server. With a lower one they read up to 256 KiB of a head before they looked.

Cause: http.Server's limit can't change while it runs, the configuration does.

Fix: connections limit the head that is being read by the configuration in force when they began to wait for it, plus 8 KiB for what headerTooLarge does not count; beyond it the client gets 431 and the connection ends. Without a configured limit it is 256 KiB, as before.

Result: TestHeadIsReadUpToTheConfiguredLimit (600 KiB under a limit of 1 MiB) fails with the former fixed limit (the connection is reset) and passes; TestHeadLimitOfKeptConnection; the package passes, in part under -race.

--- a/internal/router/clientconns.go
+++ b/internal/router/clientconns.go
@@ -23,6 +23,7 @@
 type clientConn struct {
 	idleSince time.Time // zero: a request is in flight
 	closed    atomic.Bool
+	limited   *headLimitedConn // nil if heads are not limited
 }
 
 type clientConnKey struct{}
@@ -32,6 +33,7 @@
 // attach is the ConnContext hook of the server. It starts tracking a connection and adds its state to the context.
 func (c *clientConns) attach(ctx context.Context, conn net.Conn) context.Context {
 	attached := &clientConn{idleSince: time.Now()}
+	attached.limited, _ = conn.(*headLimitedConn)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.conns[conn] = attached
@@ -92,6 +94,13 @@
 	return ok && attached.closed.Load()
 }
 
+// headRead lifts the limit of the head from the connection of a request whose head has been read.
+func headRead(incoming *http.Request) {
+	if attached, ok := incoming.Context().Value(clientConnKey{}).(*clientConn); ok && attached.limited != nil {
+		attached.limited.headRemaining.Store(noHeadLimit)
+	}
+}
+
 // clientIdleTimeout returns the time after which an idle client connection is closed. It is the configured idle timeout plus
 // the header timeout, because a client within these limits may still be sending a request's header.
 func (r *Router) clientIdleTimeout() time.Duration {
--- a/internal/router/ingress.go
+++ b/internal/router/ingress.go
@@ -16,6 +16,7 @@
 // ServeHTTP handles one client request. It panics with http.ErrAbortHandler if no response can be sent.
 func (r *Router) ServeHTTP(w http.ResponseWriter, incoming *http.Request) {
 	arrived := time.Now()
+	headRead(incoming)
 	if readFromClosedConn(incoming) {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -27,8 +28,6 @@
 	// agentMaxQuorumAge is the quorum age above which a router without a snapshot rejects the data of its agent. It is higher
 	// than the age at which an agent switches to another controller.
 	agentMaxQuorumAge = 3 * time.Second
-	// maxHeaderBytes limits the header bytes that the server reads. The configured limit is lower and is checked later.
-	maxHeaderBytes    = 256 << 10
 	idleCheckInterval = 5 * time.Second
 )
 
@@ -76,7 +75,7 @@
 	clients := r.newClientServer()
 	probes := &http.Server{Handler: r.ReadinessHandler(), IdleTimeout: defaultIdleTimeout}
 	serveErrors := make(chan error, 2)
-	go func() { serveErrors <- clients.Serve(frontend) }()
+	go func() { serveErrors <- clients.Serve(headLimitListener{frontend}) }()
 	go func() { serveErrors <- probes.Serve(readiness) }()
 	go r.closeIdleConns(followCtx)
 	r.options.Log.Info("router serves", zap.String("address", frontend.Addr().String()))
@@ -92,9 +91,12 @@
 func (r *Router) newClientServer() *http.Server {
 	return &http.Server{
 		Handler:        r,
-		MaxHeaderBytes: maxHeaderBytes,
+		MaxHeaderBytes: math.MaxInt32, // headLimitListener limits heads
 		ConnContext:    r.conns.attach,
-		ConnState:      r.conns.track,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			r.trackHead(conn, state)
+			r.conns.track(conn, state)
+		},
 		// Otherwise net/http answers "OPTIONS *" with a success of its own.
 		DisableGeneralOptionsHandler: true,
 	}
