--- a/cmd/weldhollow/main.go
+++ b/cmd/weldhollow/main.go
@@ -71,17 +71,12 @@
 		Phase: command.Duration(flagPhase), ConfigEvery: command.Duration(flagConfigs), ListEvery: command.Duration(flagLists),
 		RestartEvery: command.Duration(flagRestarts), Programs: command.String(flagPrograms), Progress: os.Stderr,
 	}
-	if options.Programs == "" {
-		directory, err := os.MkdirTemp("", "weldhollow-")
-		if err != nil {
-			return err
-		}
-		defer func() { _ = os.RemoveAll(directory) }()
-		if err := fleet.Build(directory); err != nil {
-			return err
-		}
-		options.Programs = directory
+	programs, remove, err := fleet.ProgramsIn(options.Programs)
+	if err != nil {
+		return err
 	}
+	defer remove()
+	options.Programs = programs
 	results, err := hollow.Run(ctx, options)
 	if err != nil {
 		return err
--- a/cmd/weldsoak/main.go
+++ b/cmd/weldsoak/main.go
@@ -68,17 +68,12 @@
 		Programs: command.String(flagPrograms), Length: command.Duration(flagLength), Routers: command.Int(flagRouters),
 		Controllers: command.Int(flagControllers), Kills: command.Bool(flagKills), Quota: command.Float(flagQuota), Log: command.Bool(flagLog),
 	}
-	if options.Programs == "" {
-		directory, err := os.MkdirTemp("", "weldsoak-")
-		if err != nil {
-			return err
-		}
-		defer func() { _ = os.RemoveAll(directory) }()
-		if err := fleet.Build(directory); err != nil {
-			return err
-		}
-		options.Programs = directory
+	programs, remove, err := fleet.ProgramsIn(options.Programs)
+	if err != nil {
+		return err
 	}
+	defer remove()
+	options.Programs = programs
 	first := command.Uint64(flagFirstSeed)
 	return runSeeds(ctx, options, first, first+uint64(command.Int(flagSeeds)), command.Int(flagAtOnce))
 }
--- a/internal/standin/fleet/build.go
+++ b/internal/standin/fleet/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 )
@@ -16,3 +17,21 @@
 	}
 	return nil
 }
+
+// ProgramsIn returns the directory, or builds the fleet's programs into a temporary one if it is empty. The caller must call
+// remove when the programs are no longer needed; it leaves a given directory alone.
+func ProgramsIn(directory string) (programs string, remove func(), err error) {
+	if directory != "" {
+		return directory, func() {}, nil
+	}
+	temporary, err := os.MkdirTemp("", "weldfleet-programs-")
+	if err != nil {
+		return "", nil, err
+	}
+	remove = func() { _ = os.RemoveAll(temporary) }
+	if err := Build(temporary); err != nil {
+		remove()
+		return "", nil, err
+	}
+	return temporary, remove, nil
+}
--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -22,16 +22,12 @@
 func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
 
 func buildAndRun(m *testing.M) int {
-	directory, err := os.MkdirTemp("", "weldfleet-programs-")
+	directory, remove, err := ProgramsIn("")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	defer func() { _ = os.RemoveAll(directory) }()
-	if err := Build(directory); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
+	defer remove()
 	programs = directory
 	return m.Run()
 }
