Evidence: a complaint is sent again each second while it counts

Cause: a report goes to two members drawn at random, which pass on what is new to two others each, and nothing repeats it. Each misses a given member in one of 27 cases with four members (reckoned), and the three that complain avoid the worker for seconds, so that no newer report comes.

Fix: RepeatedReports sends a standing complaint again each second, under its number, so that members which have it neither count nor forward it. What DueReports returns, and so what routers tell controllers, is as before.

--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -93,9 +93,15 @@
 	reportedKind       Kind
 	reportedAt         time.Duration
 	reportedObservedAt time.Duration // time of the observation that was reported
+	reportedSeq        uint64
+	repeatedAt         time.Duration // when the report was last sent
 	reported           bool
 }
 
+// repeatInterval is the time after which a complaint that still counts is sent again. A report reaches a few members directly,
+// and the rest only if these forward it.
+const repeatInterval = time.Second
+
 // receivedReport is a report of another member.
 type receivedReport struct {
 	report     Report
@@ -220,12 +226,37 @@
 		}
 		o.reportedAt, o.reportedObservedAt, o.reportedKind, o.reported = now, o.at, o.kind, true
 		a.seq++
-		out = append(out, Report{a.name, a.zone, worker, a.incarnation, a.seq, now - o.at, o.kind})
+		o.reportedSeq, o.repeatedAt = a.seq, now
+		out = append(out, a.reportOf(worker, o, now))
+	}
+	sortByWorker(out)
+	return out
+}
+
+// RepeatedReports returns the complaints to send once more, sorted by worker: those that were sent at least repeatInterval ago
+// and still are this member's latest observations. They keep their Seq, so that members which have them do not forward them.
+func (a *Aggregator) RepeatedReports(now time.Duration) (out []Report) {
+	for worker, o := range a.own {
+		stands := o.reported && o.reportedObservedAt == o.at && o.kind != Succeeded && now-o.at < a.config.MaxAge
+		if !stands || now-o.repeatedAt < repeatInterval {
+			continue
+		}
+		o.repeatedAt = now
+		out = append(out, a.reportOf(worker, o, now))
 	}
-	slices.SortFunc(out, func(x, y Report) int { return cmp.Compare(x.Worker, y.Worker) })
+	sortByWorker(out)
 	return out
 }
 
+// reportOf returns the report of an observation under its last Seq.
+func (a *Aggregator) reportOf(worker string, o *observation, now time.Duration) Report {
+	return Report{a.name, a.zone, worker, a.incarnation, o.reportedSeq, now - o.at, o.kind}
+}
+
+func sortByWorker(reports []Report) {
+	slices.SortFunc(reports, func(x, y Report) int { return cmp.Compare(x.Worker, y.Worker) })
+}
+
 // WithComplaints returns the workers that the latest report of at least one other member complains about, sorted by name.
 func (a *Aggregator) WithComplaints(now time.Duration) (names []string) {
 	a.expireReceived(now)
--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -110,6 +110,33 @@
 	assert.Empty(t, aggregator.DueReports(second+aggregator.config.MaxAge))
 }
 
+// TestComplaintIsRepeatedWhileItCounts guards against a member that never hears a complaint, because each report is sent to a
+// few members only and a datagram may be lost. Members that have the report must not forward it again.
+func TestComplaintIsRepeatedWhileItCounts(t *testing.T) {
+	reporter, receiver := newTestAggregator(t, 4, "a", "here"), newTestAggregator(t, 4, "b", "here")
+	reporter.Record(0, "bad", Failed)
+	reporter.Record(0, "good", Succeeded)
+	require.Empty(t, reporter.RepeatedReports(0), "nothing was reported yet")
+	first := reporter.DueReports(0)
+	require.Len(t, first, 1)
+	require.Empty(t, reporter.RepeatedReports(repeatInterval-1))
+	repeated := reporter.RepeatedReports(repeatInterval)
+	require.Len(t, repeated, 1)
+	require.Equal(t, first[0].Seq, repeated[0].Seq)
+	require.Equal(t, repeatInterval, repeated[0].Age)
+	require.Empty(t, reporter.RepeatedReports(repeatInterval+1))
+	require.True(t, receiver.Receive(repeatInterval, repeated[0]), "the first one was lost")
+	again := reporter.RepeatedReports(2 * repeatInterval)
+	require.Len(t, again, 1)
+	require.False(t, receiver.Receive(2*repeatInterval, again[0]), "it has the report")
+	reporter.Record(3*repeatInterval, "bad", Failed)
+	require.Empty(t, reporter.RepeatedReports(4*repeatInterval), "a new observation is due in its place")
+	require.Len(t, reporter.DueReports(4*repeatInterval), 1)
+	require.Empty(t, reporter.RepeatedReports(3*repeatInterval+reporter.config.MaxAge), "it counts no more")
+	reporter.Record(5*repeatInterval, "bad", Succeeded)
+	require.Empty(t, reporter.RepeatedReports(6*repeatInterval), "the complaint is out of date")
+}
+
 // Checks that invalid reports and those beyond the bounds are dropped, and that expired ones make room.
 func TestBounds(t *testing.T) {
 	c := DefaultConfig(2)
--- a/internal/fleet/evidence.go
+++ b/internal/fleet/evidence.go
@@ -73,7 +73,7 @@
 	v.aggregator(service).Record(time.Since(v.started), worker, k)
 }
 
-// Tick broadcasts the reports of a service that are due, and returns the suspected workers. It must be called several times a
+// Tick broadcasts the reports of a service that are due, new ones and repeated ones, and returns the suspected workers. It must be called several times a
 // second. knownWorkers is the number of workers of the service.
 func (v *Evidence) Tick(service string, knownWorkers int) []string {
 	link := v.link()
@@ -92,7 +92,7 @@
 	}
 	v.lastTick = now
 	aggregator := v.aggregator(service)
-	due := aggregator.DueReports(now)
+	due := append(aggregator.DueReports(now), aggregator.RepeatedReports(now)...)
 	suspects := aggregator.Suspects(now, knownWorkers, zoneMembers)
 	v.suspects[service] = suspects
 	v.mu.Unlock()
