Router: log and counters tell how each worker's stream ended, and by which defect

For the incident: a router said nothing of the streams that it passed on, so that a worker that broke off, one that sent other bytes within its framing, and the router's own doing looked alike. What is relayed is unchanged.

The readiness address serves counters at /metrics; any other path stays a readiness probe.

--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -27,6 +27,7 @@
 
 // workerResponse is a worker's response whose body has not been read yet.
 type workerResponse struct {
+	worker   string // ID of the instance that it was requested from
 	conn     *upstream.Conn
 	response *http.Response
 }
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -149,7 +149,7 @@
 		}
 		return nil, q.brokenResult(ctx)
 	}
-	received := &workerResponse{conn: conn, response: response}
+	received := &workerResponse{worker: target.ID, conn: conn, response: response}
 	if response.Header.Get(headerRequestID) != q.id {
 		received.discard() // a late response to another request came first
 		return nil, q.brokenResult(ctx)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -52,6 +52,9 @@
 	observations    *observations
 	inFlight        *inFlightRequests
 	abortLogLimiter logLimiter
+	// streamLogLimiter limits the log lines about workers' streams.
+	streamLogLimiter logLimiter
+	counters         *counters
 	// refusedDraining counts the requests that were refused because the process might have exited before their end.
 	refusedDraining atomic.Int64
 	started         chan struct{} // closed once a configuration and an instance list are known
@@ -72,6 +75,7 @@
 		observations: newObservations(),
 		conns:        newClientConns(),
 		inFlight:     newInFlightRequests(),
+		counters:     newCounters(),
 	}
 }
 
@@ -125,9 +129,14 @@
 	return !r.shuttingDown() && current != nil && current.hasInstanceList()
 }
 
-// ReadinessHandler returns the handler of the platform's readiness probes: 200 if the router is ready, otherwise 503.
+// ReadinessHandler returns the handler of the readiness address. It answers the platform's readiness probes, on any path, with
+// 200 if the router is ready, otherwise 503. /metrics has the router's counters in the Prometheus text format.
 func (r *Router) ReadinessHandler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	return http.HandlerFunc(func(w http.ResponseWriter, incoming *http.Request) {
+		if incoming.URL.Path == metricsPath {
+			r.serveMetrics(w)
+			return
+		}
 		status := http.StatusOK
 		if !r.Ready() {
 			status = http.StatusServiceUnavailable
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"strconv"
 
+	"weldscale/internal/eventstream"
 	"weldscale/internal/placement"
 )
 
@@ -24,32 +25,64 @@
 	if q.handle != nil && q.handle.offeredNow {
 		q.handle.taken = true
 	}
-	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
-	defer copyBuffers.Put(buffer)
 	relay := eventRelay{request: q, response: received, resumedAfter: q.clientResponse.lastID}
-	for {
-		size, err := received.response.Body.Read(buffer[:])
-		if size > 0 {
-			relay.feed(buffer[:size])
-		}
-		switch {
-		case errors.Is(err, io.EOF):
-			return relay.finish()
-		case err != nil:
-			return relay.breakOff(ctx)
-		case q.clientResponse.writeFailed:
-			received.discard()
-			return placement.ResultCancelled
-		}
+	relay.observed = eventstream.NewScanner(received.response.Request.Header.Get(headerLastEventID))
+	err := relay.relayEvents()
+	q.recordStream(ctx, received, relay.observe(err))
+	switch {
+	case errors.Is(err, io.EOF):
+		return relay.finish()
+	case errors.Is(err, errClientWrite):
+		received.discard()
+		return placement.ResultCancelled
+	default:
+		return relay.breakOff(ctx)
 	}
 }
 
+// errClientWrite means that the relay of a stream ended because a write to the client failed.
+var errClientWrite = errors.New("write to the client")
+
 // eventRelay relays the events of one worker's stream.
 type eventRelay struct {
 	request      *request
 	response     *workerResponse
 	scanner      eventScanner
 	resumedAfter string // ID of the event after which this stream resumes; empty: it starts at the beginning
+	observed     *eventstream.Scanner
+}
+
+// observe returns what ended the stream: its first defect, or readErr, with which the reading of its body ended.
+func (e *eventRelay) observe(readErr error) error {
+	if e.observed.Err() != nil {
+		return e.observed.Err()
+	}
+	if errors.Is(readErr, io.EOF) && e.observed.Finish() != nil {
+		return e.observed.Finish()
+	}
+	return readErr
+}
+
+// relayEvents relays the stream until it ends. It returns the error with which the reading of the stream's body ended, which is
+// io.EOF if the framing ended soundly, or errClientWrite.
+func (e *eventRelay) relayEvents() error {
+	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
+	defer copyBuffers.Put(buffer)
+	for {
+		size, err := e.response.response.Body.Read(buffer[:])
+		if size > 0 {
+			e.observed.Feed(buffer[:size])
+			for _, ok := e.observed.Next(); ok; _, ok = e.observed.Next() {
+			}
+			e.feed(buffer[:size])
+		}
+		switch {
+		case err != nil:
+			return err
+		case e.request.clientResponse.writeFailed:
+			return errClientWrite
+		}
+	}
 }
 
 // feed takes the next bytes of the stream and relays the events that they complete.
--- /dev/null
+++ b/internal/router/streamstats.go
@@ -0,0 +1,60 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"go.uber.org/zap"
+
+	"weldscale/internal/eventstream"
+)
+
+// streamEnd is the way in which a worker's stream ended.
+type streamEnd string
+
+// All stream ends.
+const (
+	streamWhole     streamEnd = "whole"     // it ended after an event, as its framing did
+	streamMalformed streamEnd = "malformed" // it was not what the protocol allows, see eventstream.Defect
+	streamBroken    streamEnd = "broken"    // its connection or its framing broke
+	streamLeft      streamEnd = "left"      // the router left it: the client has gone, time is over or the process ends
+)
+
+var streamEnds = []streamEnd{streamWhole, streamMalformed, streamBroken, streamLeft}
+
+// endOfStream classifies the end of a stream. err is what ended its relay: a *eventstream.MalformedError, errClientWrite, or an
+// error of its body, which is io.EOF where the framing ended soundly.
+func endOfStream(ctx context.Context, err error) streamEnd {
+	var malformed *eventstream.MalformedError
+	switch {
+	case errors.As(err, &malformed):
+		return streamMalformed
+	case errors.Is(err, io.EOF):
+		return streamWhole
+	case ctx.Err() != nil, errors.Is(err, errClientWrite):
+		return streamLeft
+	default:
+		return streamBroken
+	}
+}
+
+// recordStream counts a worker's stream and logs it if its worker has not sent it whole.
+func (q *request) recordStream(ctx context.Context, received *workerResponse, err error) {
+	end := endOfStream(ctx, err)
+	q.router.counters.countStream(end, err)
+	if end != streamMalformed && end != streamBroken || !q.router.streamLogLimiter.allow(time.Now()) {
+		return
+	}
+	q.logWarning("worker stream not whole",
+		zap.String("end", string(end)),
+		zap.Error(err),
+		zap.String("worker", received.worker),
+		zap.String("stamp", received.response.Header.Get(headerSignature)),
+		zap.Bool("chunked", len(received.response.TransferEncoding) > 0),
+		zap.Bool("reused_connection", received.conn.Reused()),
+		zap.Int("events", q.clientResponse.eventCount),
+		zap.String("last_id", q.clientResponse.lastID),
+	)
+}
--- a/internal/router/upstream/conn.go
+++ b/internal/router/upstream/conn.go
@@ -25,7 +25,7 @@
 // resets it at once, and a request sent in between would be lost. VerifyOpen therefore watches a new connection for its
 // connect time (at most maxVerifyConnectTime) plus Options.VerifyMargin. A reused connection is checked without waiting.
 func (c *Conn) VerifyOpen(ctx context.Context) bool {
-	if c.idleTime > 0 {
+	if c.Reused() {
 		return c.clientConn.Available() == 1
 	}
 	select {
@@ -59,6 +59,9 @@
 // Sent reports whether any byte of the last request may have been sent. If not, the worker has not received the request.
 func (c *Conn) Sent() bool { return c.tracked.writeStarted.Load() }
 
+// Reused reports whether the connection had carried a request before its current use.
+func (c *Conn) Reused() bool { return c.idleTime > 0 }
+
 // Release returns the connection to its pool. The connection is closed instead if its last response was not read to the end
 // or the worker asked for it to be closed.
 func (c *Conn) Release() {
