Stand-ins: workers that spoil an answer within a sound framing, and a judge that sees it

The stand-in of a worker broke answers off or sent no HTTP at all; nothing played a stream that is spoilt inside its chunks, which is a reason why no test met the incident. Five faults do now, on the second event of a stream and on the answer of a prefill, also drawn at random by a seed.

--- a/internal/standin/client/client.go
+++ b/internal/standin/client/client.go
@@ -328,7 +328,7 @@
 func (q *request) addEvent(text string, got *answer) {
 	piece, ok := llmworker.ParseEvent(text)
 	if !ok {
-		got.Unparsed += text
+		got.Foreign += text
 		return
 	}
 	now := time.Now()
--- a/internal/standin/judge/judge.go
+++ b/internal/standin/judge/judge.go
@@ -121,7 +121,8 @@
 	Complete bool // the body ended as the protocol requires
 	Stream   bool
 	Pieces   []Piece
-	Unparsed string // bytes that are not part of any event
+	Foreign  string // whole events of a stream that no worker makes
+	Unparsed string // bytes of a stream after its last whole event
 }
 
 type requestState struct {
@@ -334,6 +335,9 @@
 		c.addViolation(WrongAnswer, "%s: stream under the stamp %q, which belongs to none of its runs", r.ID, answer.Stamp)
 		return
 	}
+	if answer.Foreign != "" {
+		c.addViolation(StreamOrder, "%s: an event that no run made: %.60q", r.ID, answer.Foreign)
+	}
 	if answer.Unparsed != "" && answer.Complete {
 		c.addViolation(WrongAnswer, "%s: bytes outside of events: %.60q", r.ID, answer.Unparsed)
 	}
--- a/internal/standin/judge/judge_test.go
+++ b/internal/standin/judge/judge_test.go
@@ -91,6 +91,12 @@
 			c.Ran(run("a", "w"))
 			c.Answered(stream("da", pieces(c, "a@w", 1, 1)...))
 		}},
+		"an event that no worker makes, in a stream that is cut": {StreamOrder, func(c *Checker) {
+			c.Ran(run("a", "w"))
+			answer := stream("", pieces(c, "a@w", 2, 1)...)
+			answer.Foreign, answer.Complete = "other bytes", false
+			c.Answered(answer)
+		}},
 		"two runs are joined": {StreamOrder, func(c *Checker) {
 			c.Ran(run("a", "w"))
 			c.Answered(stream("", append(pieces(c, "a@w", 2, 1), pieces(c, "a@v", 2, 1, 2)[1:]...)...))
--- a/internal/standin/llmworker/faults.go
+++ b/internal/standin/llmworker/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 )
@@ -19,11 +20,27 @@
 	FaultReset                 // runs, and resets the connection before its answer
 	FaultServerError           // runs, and answers 500
 	FaultReject                // doesn't run; answers 503 with Not-Executed
+
+	// The following faults spoil the second event of a stream, or the answer of a prefill, within a sound framing. They change
+	// nothing at a plain worker.
+
+	FaultForeignEnd    // sends bytes that are no event, and ends the answer as if it were complete
+	FaultForeignBreak  // sends bytes that are no event, and closes the connection
+	FaultUnfinishedEnd // ends the answer within the event, as if it were complete
+	FaultLostID        // sends the event without its ID, and goes on
+	FaultRepeatedEvent // sends the event twice, and goes on
 )
 
+// AnswerFaults are the faults that break off or spoil an answer.
+var AnswerFaults = []Fault{FaultTruncate, FaultMalformed, FaultReset, FaultForeignEnd, FaultForeignBreak, FaultUnfinishedEnd,
+	FaultLostID, FaultRepeatedEvent}
+
+// spoilsAnswer reports whether the fault spoils an answer within a sound framing.
+func (f Fault) spoilsAnswer() bool { return f >= FaultForeignEnd }
+
 // abortsAnswer reports whether the fault prevents a complete answer.
 func (f Fault) abortsAnswer() bool {
-	return f == FaultTruncate || f == FaultMalformed || f == FaultSilent || f == FaultReset
+	return f == FaultTruncate || f == FaultMalformed || f == FaultSilent || f == FaultReset || f.spoilsAnswer()
 }
 
 // faultPlan holds the planned faults.
@@ -31,6 +48,21 @@
 	mu     sync.Mutex
 	next   []Fault
 	always Fault
+	random *randomFaults // nil: none
+}
+
+// randomFaults draws faults for a share of the requests.
+type randomFaults struct {
+	rng    *rand.Rand
+	share  float64
+	faults []Fault
+}
+
+func (r *randomFaults) draw() Fault {
+	if r == nil || r.rng.Float64() >= r.share {
+		return FaultNone
+	}
+	return r.faults[r.rng.IntN(len(r.faults))]
 }
 
 // FailNext plans faults for the next requests, one for each.
@@ -47,9 +79,19 @@
 	w.faults.always = fault
 }
 
+// FailRandomly plans one of the faults for a share of the requests that have no other fault. The seed determines which.
+func (w *Worker) FailRandomly(share float64, seed uint64, faults ...Fault) {
+	w.faults.mu.Lock()
+	defer w.faults.mu.Unlock()
+	w.faults.random = &randomFaults{rng: rand.New(rand.NewPCG(seed, 0)), share: share, faults: faults}
+}
+
 func (p *faultPlan) nextFault() Fault {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(p.next) == 0 && p.always == FaultNone {
+		return p.random.draw()
+	}
 	if len(p.next) == 0 {
 		return p.always
 	}
--- a/internal/standin/llmworker/model.go
+++ b/internal/standin/llmworker/model.go
@@ -133,8 +133,7 @@
 	case engine.KindNotExecuted:
 		s.worker.writeNotExecuted(s.responseWriter, http.StatusServiceUnavailable)
 	case engine.KindPrefilled:
-		s.responseWriter.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(s.responseWriter).Encode(map[string]any{"KvHandle": event.Handle, "Tokens": event.Tokens, "Version": 1})
+		s.writePrefillAnswer(event)
 	case engine.KindTokens:
 		if s.stamp == "" {
 			s.writeHeaders(event)
@@ -142,12 +141,20 @@
 				return true
 			}
 		}
-		s.writeTokens(event)
-		return false
+		return s.writeTokens(event)
 	}
 	return true
 }
 
+func (s *stream) writePrefillAnswer(event engine.Event) {
+	s.responseWriter.Header().Set("Content-Type", "application/json")
+	answer := fmt.Sprintf(`{"KvHandle":%q,"Tokens":%d,"Version":1}`, event.Handle, event.Tokens)
+	if s.incoming.fault.spoilsAnswer() {
+		answer = spoiledPrefillAnswer(s.incoming.fault, answer)
+	}
+	_, _ = s.responseWriter.Write([]byte(answer))
+}
+
 // writeHeaders sets the headers and reports the run to the judge: a request counts as run from its first token.
 func (s *stream) writeHeaders(event engine.Event) {
 	s.stamp = s.worker.newStamp()
@@ -158,16 +165,22 @@
 	header.Set("Versions", "1")
 }
 
-func (s *stream) writeTokens(event engine.Event) {
+// writeTokens writes an event of tokens and reports whether the stream ends with it.
+func (s *stream) writeTokens(event engine.Event) (done bool) {
 	piece := judge.Piece{Stamp: s.stamp, From: event.From, To: event.To, Total: s.incoming.output}
 	s.worker.config.Judge.MadePiece(piece)
 	text := FormatEvent(piece)
 	s.events++
-	if s.incoming.fault == FaultTruncate && s.events == 2 {
+	switch {
+	case s.events != spoiledEvent:
+	case s.incoming.fault == FaultTruncate:
 		s.write(text[:len(text)/2])
 		panic(http.ErrAbortHandler)
+	case s.incoming.fault.spoilsAnswer():
+		return s.writeSpoiled(text)
 	}
 	s.write(text)
+	return false
 }
 
 func (s *stream) write(text string) {
--- a/internal/standin/llmworker/worker_test.go
+++ b/internal/standin/llmworker/worker_test.go
@@ -251,6 +251,45 @@
 	}
 }
 
+func TestFaultsSpoilAnswersWithinASoundFraming(t *testing.T) {
+	const second = "data: %s 2-4/8\n\n"
+	for fault, want := range map[Fault]struct{ stream, prefill string }{
+		FaultForeignEnd:    {foreignBytes, foreignBytes},
+		FaultForeignBreak:  {foreignBytes, `{"KvHandle":"no handle`},
+		FaultUnfinishedEnd: {"id: 4\ndata: ", `{"KvHandle":"`},
+		FaultLostID:        {second + "id: 7\n", "{}"},
+		FaultRepeatedEvent: {"id: 4\n" + second + "id: 4\n" + second + "id: 7\n", `,"Version":1}{"KvHandle":"`},
+	} {
+		f := newFixture(t)
+		decode, prefill := f.start(Config{Name: "d", Engine: withStage(engine.StageDecode)}), f.start(Config{Name: "p", Engine: withStage(engine.StagePrefill)})
+		decode.FailNext(fault)
+		prefill.FailNext(fault)
+		response, err := f.send(decode, "a", "Token-Count", "10,8")
+		require.NoError(t, err)
+		text, err := io.ReadAll(response.Body)
+		require.Equal(t, fault == FaultForeignBreak, err != nil, "the framing is sound unless the connection is closed")
+		stamp := response.Header.Get("Response-Signature")
+		_, afterFirst, _ := strings.Cut(string(text), "\n\n")
+		require.True(t, strings.HasPrefix(afterFirst, strings.ReplaceAll(want.stream, "%s", stamp)), afterFirst)
+		require.Contains(t, f.body(f.send(prefill, "b", "Token-Count", "10,8", "Serving-Stage", "prefill")), want.prefill)
+	}
+}
+
+func TestRandomFaultsDependOnTheSeed(t *testing.T) {
+	draws := func(seed uint64) (faults []Fault) {
+		var w Worker
+		w.FailRandomly(0.5, seed, AnswerFaults...)
+		for range 100 {
+			faults = append(faults, w.faults.nextFault())
+		}
+		return faults
+	}
+	require.Equal(t, draws(1), draws(1))
+	require.NotEqual(t, draws(1), draws(2))
+	require.Contains(t, draws(1), FaultNone)
+	require.Contains(t, draws(1), FaultLostID)
+}
+
 func TestDuplicateAnswerReplacesTheNextAnswer(t *testing.T) {
 	f := newFixture(t)
 	w := f.start(Config{Name: "w"})
