--- a/cmd/weldsoak/main.go
+++ b/cmd/weldsoak/main.go
@@ -35,6 +35,7 @@
 	flagControllers = "controllers"
 	flagKills       = "kills"
 	flagQuota       = "quota"
+	flagSpoil       = "spoil"
 	flagAtOnce      = "at-once"
 	flagPrograms    = "programs"
 	flagLog         = "log"
@@ -53,6 +54,7 @@
 			&cli.IntFlag{Name: flagControllers, Usage: "core machines", Value: 3},
 			&cli.BoolFlag{Name: flagKills, Usage: "kill processes as well"},
 			&cli.FloatFlag{Name: flagQuota, Usage: "`SHARE` of a core for each process, full speed until it is spent; 0: none"},
+			&cli.FloatFlag{Name: flagSpoil, Usage: "`SHARE` of the requests whose answers the workers break off or spoil", Value: 0.02},
 			&cli.IntFlag{Name: flagAtOnce, Usage: "seeds that are played side by side", Value: 1},
 			&cli.StringFlag{Name: flagPrograms, Usage: "`DIRECTORY` of the fleet's programs; by default they are built"},
 			&cli.BoolFlag{Name: flagLog, Usage: "show the programs' logs"},
@@ -66,7 +68,8 @@
 func run(ctx context.Context, command *cli.Command) error {
 	options := soak.Options{
 		Programs: command.String(flagPrograms), Length: command.Duration(flagLength), Routers: command.Int(flagRouters),
-		Controllers: command.Int(flagControllers), Kills: command.Bool(flagKills), Quota: command.Float(flagQuota), Log: command.Bool(flagLog),
+		Controllers: command.Int(flagControllers), Kills: command.Bool(flagKills), Quota: command.Float(flagQuota), Spoil: command.Float(flagSpoil),
+		Log: command.Bool(flagLog),
 	}
 	programs, remove, err := fleet.ProgramsIn(options.Programs)
 	if err != nil {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -16,6 +16,7 @@
 	"weldscale/internal/standin/client"
 	"weldscale/internal/standin/fleet"
 	"weldscale/internal/standin/judge"
+	"weldscale/internal/standin/llmworker"
 )
 
 // Options describes a run.
@@ -27,6 +28,7 @@
 	Controllers int
 	Kills       bool
 	Quota       float64 // share of a core for each process, which runs at full speed until it is used up; 0: no limit
+	Spoil       float64 // share of the requests whose answers the workers break off or spoil
 	Log         bool    // pass the programs' logs on to standard error
 }
 
@@ -108,15 +110,22 @@
 
 // prepare adds the workers and the first configuration, and waits until all routers are ready.
 func (r *run) prepare(ctx context.Context) error {
-	if _, err := r.fleet.AddSmallSiteWorkers(); err != nil {
+	workers, err := r.fleet.AddSmallSiteWorkers()
+	if err != nil {
 		return err
 	}
+	for i, worker := range slices.Concat(workers.Prefill, workers.Decode, workers.Plain, workers.Other) {
+		worker.FailRandomly(r.Spoil, r.Seed<<faultSeedShift+uint64(i), llmworker.AnswerFaults...)
+	}
 	if err := r.changes.initialize(ctx); err != nil {
 		return err
 	}
 	return r.fleet.AwaitReady(ctx, r.Routers)
 }
 
+// faultSeedShift leaves each worker of a run a seed of its own.
+const faultSeedShift = 8
+
 // play applies the load during the events and the checks that follow them.
 func (r *run) play(ctx context.Context, events []Event) {
 	loadCtx, stopLoad := context.WithCancel(ctx)
