Router: relay only sound events, and a stream as complete only if it is whole

Cause: whatever stood between two blank lines within a sound framing was passed on as an event, what stood behind the last one too, and the end of the framing was taken for the end of the stream.

From the first defect on nothing of a stream is relayed: its connection is closed, a resumable stream goes on after its last sound event at another worker, any other is cut and so never looks complete; one without a sound event yet gets 502 or another worker. Retries, budget and evidence see it as a broken answer. An event above 256 KiB is a defect; it was passed on in parts, and a part that never became an event stood before the next worker's events.

Why this works: what decides is what the bytes are, not who framed them or how they end.

--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -20,28 +20,32 @@
 	ID  string // a whole number
 }
 
-// Scanner checks a stream and splits it into events. The stream may be fed in pieces of any size. The zero value scans a stream
-// that starts at the beginning.
+// Resume tells from which event on a stream was requested. The zero value stands for its beginning.
+type Resume struct {
+	Requested bool   // the request had a Last-Event-Id, so that the stream may have no event left
+	After     string // Event.ID of the last event that the client has of this stream; empty if it is not known to have any
+}
+
+// Scanner checks a stream and splits it into events. The stream may be fed in pieces of any size.
 type Scanner struct {
 	buffer  []byte // bytes that were fed and may still be needed
 	start   int    // offset of the current event
 	line    int    // offset of the current line
 	current eventFields
 
-	resumes  bool   // the stream resumes an earlier one
-	after    uint64 // ID of the last event of the earlier one
-	hasAfter bool   // after is known
+	mayBeEmpty bool
+	after      uint64 // value of Resume.After
+	hasAfter   bool
 
 	found  bool   // the stream has had an event
 	lastID uint64 // its ID
 	err    error
 }
 
-// NewScanner returns a scanner of a stream that was requested with lastEventID, the value of Last-Event-Id. Without one the
-// stream starts at the beginning.
-func NewScanner(lastEventID string) *Scanner {
-	after, err := strconv.ParseUint(lastEventID, 10, 64)
-	return &Scanner{resumes: lastEventID != "", after: after, hasAfter: err == nil}
+// NewScanner returns a scanner of a stream.
+func NewScanner(resume Resume) *Scanner {
+	after, err := strconv.ParseUint(resume.After, 10, 64)
+	return &Scanner{mayBeEmpty: resume.Requested, after: after, hasAfter: err == nil}
 }
 
 // Feed appends the next bytes of the stream.
@@ -55,8 +59,8 @@
 	s.buffer = append(s.buffer, data...)
 }
 
-// Next returns the next whole event. It skips events up to the one after which the stream resumes, because a worker may resume
-// earlier than requested. It returns false if no event is complete or the stream is malformed, as told by Err.
+// Next returns the next whole event. It skips events up to Resume.After, because a worker may resume earlier than requested. It
+// returns false if no event is complete or the stream is malformed, as told by Err.
 func (s *Scanner) Next() (Event, bool) {
 	for s.err == nil {
 		length := bytes.IndexByte(s.buffer[s.line:], '\n')
@@ -119,14 +123,14 @@
 func (s *Scanner) Err() error { return s.err }
 
 // Finish checks that a stream whose framing has ended soundly is whole, after Next has returned false. It returns a
-// *MalformedError if not. A stream that resumes after the last event of the earlier one has no event of its own.
+// *MalformedError if not.
 func (s *Scanner) Finish() error {
 	rest := s.buffer[s.start:]
 	switch {
 	case s.err != nil:
 	case len(rest) > 0:
 		s.fail(DefectUnfinished, rest)
-	case !s.found && !s.resumes:
+	case !s.found && !s.mayBeEmpty:
 		s.fail(DefectEmpty, nil)
 	case s.found && s.hasAfter && s.lastID < s.after:
 		s.fail(DefectBehind, nil)
--- a/internal/eventstream/scanner_test.go
+++ b/internal/eventstream/scanner_test.go
@@ -28,7 +28,7 @@
 
 func oneByte(int) int { return 1 }
 
-func TestWholeStreamDoesNotDependOnChunking(t *testing.T) {
+func TestEventsDoNotDependOnChunking(t *testing.T) {
 	lineEnd := rapid.SampledFrom([]string{"\n", "\r\n"})
 	optional := rapid.SampledFrom([]string{"", "versions: 2", ": comment", "event: token", "retry: 10", "later-field: x"})
 	rapid.Check(t, func(t *rapid.T) {
@@ -44,7 +44,7 @@
 			want, wantIDs = append(want, text.String()), append(wantIDs, fmt.Sprint(id))
 			id += uint64(rapid.IntRange(1, 40).Draw(t, "step"))
 		}
-		events, ids, err := scan(NewScanner(""), strings.Join(want, ""), func(remaining int) int {
+		events, ids, err := scan(NewScanner(Resume{}), strings.Join(want, ""), func(remaining int) int {
 			return rapid.IntRange(1, remaining).Draw(t, "size")
 		})
 		require.NoError(t, err)
@@ -91,7 +91,7 @@
 				if len(each.stream) > MaxEventBytes {
 					size = whole // a byte at a time, the search for the line end takes too long
 				}
-				events, _, err := scan(NewScanner(""), each.stream, size)
+				events, _, err := scan(NewScanner(Resume{}), each.stream, size)
 				var malformed *MalformedError
 				require.ErrorAs(t, err, &malformed)
 				require.Equal(t, each.want, malformed.Defect)
@@ -104,7 +104,7 @@
 
 // Guards against a stream that goes on after a defect: what follows may belong to anything.
 func TestNoEventFollowsADefect(t *testing.T) {
-	scanner := NewScanner("")
+	scanner := NewScanner(Resume{})
 	events, _, err := scan(scanner, "id: 1\ndata: a\n\ngarbage\n\nid: 2\ndata: b\n\n", whole)
 	require.Equal(t, []string{"id: 1\ndata: a\n\n"}, events)
 	require.EqualError(t, err, `malformed event stream: field: "garbage"`)
@@ -135,11 +135,12 @@
 		"ends before it":           {"4", event(1, 2), nil, DefectBehind},
 		"skipped events must rise": {"4", event(3, 2, 5), nil, DefectOrder},
 		"skipped events are whole": {"4", event(3) + "data: x\n\n" + event(5), nil, DefectNoID},
-		"ID of no known order":     {"x", event(1), []string{"1"}, ""},
+		"after an unknown event":   {"", event(1), []string{"1"}, ""},
+		"nothing, unknown event":   {"", "", nil, ""},
 	}
 	for name, each := range cases {
 		t.Run(name, func(t *testing.T) {
-			_, ids, err := scan(NewScanner(each.after), each.stream, oneByte)
+			_, ids, err := scan(NewScanner(Resume{Requested: true, After: each.after}), each.stream, oneByte)
 			require.Equal(t, each.wantIDs, ids)
 			if each.want == "" {
 				require.NoError(t, err)
@@ -156,7 +157,7 @@
 	f.Add([]byte("id: 1\ndata: a\n\ngarbage\n\n"), 3)
 	f.Add([]byte("versions: 2\r\nid: 1\r\ndata: a\r\n\r\n"), 1)
 	f.Fuzz(func(t *testing.T, stream []byte, size int) {
-		_, ids, _ := scan(NewScanner(""), string(stream), func(remaining int) int { return max(1, min(size, remaining)) })
+		_, ids, _ := scan(NewScanner(Resume{}), string(stream), func(remaining int) int { return max(1, min(size, remaining)) })
 		var last uint64
 		for i, id := range ids {
 			number, err := strconv.ParseUint(id, 10, 64)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -19,6 +19,7 @@
 	ResultNotExecuted                    // the worker answered that it did not run the job: Not-Executed or 421
 	ResultConnectFailed                  // no connection was established, nothing was sent
 	ResultConnectionBroken               // sent, but the connection broke: the job may have run
+	ResultMalformed                      // sent, but what came is not an answer of the protocol: the job may have run
 	ResultTimedOut                       // sent, but no answer came in time: the job may have run or still run
 	ResultFailed                         // the worker answered with an error of its own: the job ran
 	ResultCancelled                      // the client disconnected
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -121,7 +121,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		placer := newTestPlacer(&fakeProber{})
 		placer.Update(snapshot(1, workers("decode", 4)))
-		for _, result := range []Result{ResultConnectionBroken, ResultTimedOut, ResultFailed} {
+		for _, result := range []Result{ResultConnectionBroken, ResultMalformed, ResultTimedOut, ResultFailed} {
 			job := testJob("decode")
 			job.Repeatable = false
 			pushes := 0
@@ -327,7 +327,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		placer := newTestPlacer(&fakeProber{})
 		placer.Update(snapshot(1, workers("prefill", 3)))
-		for result, arrivals := range map[Result]int{ResultServed: 1, ResultConnectionBroken: 1, ResultFailed: 1} {
+		for result, arrivals := range map[Result]int{ResultServed: 1, ResultConnectionBroken: 1, ResultMalformed: 1, ResultFailed: 1} {
 			outcome := placer.Place(t.Context(), testJob("prefill"), func(_ context.Context, _ fleetwire.Instance, ready func() bool) Result {
 				ready()
 				return result
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -338,6 +338,7 @@
 	ResultNotExecuted:      decide.Full,
 	ResultConnectFailed:    decide.ConnectFailed,
 	ResultConnectionBroken: decide.Reset,
+	ResultMalformed:        decide.Reset,
 	ResultTimedOut:         decide.TimedOut,
 	ResultFailed:           decide.Error,
 	ResultCancelled:        decide.Cancelled,
--- a/internal/router/abort.go
+++ b/internal/router/abort.go
@@ -12,11 +12,12 @@
 
 // All abort causes.
 const (
-	abortedByClient       abortCause = "client" // the client closed its connection
-	abortedByWriteFailure abortCause = "write"  // writing to the client failed
-	abortedByDeadline     abortCause = "time"   // the client's deadline or the route's timeout passed
-	abortedByWorker       abortCause = "worker" // the worker broke off and its response can't be resumed at another worker
-	abortedByShutdown     abortCause = "end"    // the router shuts down
+	abortedByClient       abortCause = "client"    // the client closed its connection
+	abortedByWriteFailure abortCause = "write"     // writing to the client failed
+	abortedByDeadline     abortCause = "time"      // the client's deadline or the route's timeout passed
+	abortedByWorker       abortCause = "worker"    // the worker broke off and its response can't be resumed at another worker
+	abortedByMalformed    abortCause = "malformed" // the same, of a worker that sent what is not an event stream
+	abortedByShutdown     abortCause = "end"       // the router shuts down
 )
 
 // abortCause returns the reason why the response can't be completed.
@@ -30,6 +31,8 @@
 		return abortedByDeadline
 	case q.router.inFlight.isStopped():
 		return abortedByShutdown
+	case q.malformed:
+		return abortedByMalformed
 	default:
 		return abortedByWorker
 	}
--- a/internal/router/abort_test.go
+++ b/internal/router/abort_test.go
@@ -26,21 +26,23 @@
 		writeFailed bool
 		timedOut    bool
 		stopped     bool
+		malformed   bool
 		deadline    time.Time
 		cause       abortCause
 	}{
-		{"client closed its connection", disconnected, true, true, false, inAnHour, abortedByClient},
-		{"write to the client failed", connected, true, false, false, inAnHour, abortedByWriteFailure},
-		{"worker was silent until the deadline", connected, false, true, false, inAnHour, abortedByDeadline},
-		{"deadline passed", connected, false, false, false, time.Now(), abortedByDeadline},
-		{"router shuts down", connected, false, false, true, inAnHour, abortedByShutdown},
-		{"worker broke off", connected, false, false, false, inAnHour, abortedByWorker},
+		{"client closed its connection", disconnected, true, true, false, false, inAnHour, abortedByClient},
+		{"write to the client failed", connected, true, false, false, false, inAnHour, abortedByWriteFailure},
+		{"worker was silent until the deadline", connected, false, true, false, false, inAnHour, abortedByDeadline},
+		{"deadline passed", connected, false, false, false, true, time.Now(), abortedByDeadline},
+		{"router shuts down", connected, false, false, true, true, inAnHour, abortedByShutdown},
+		{"worker sent no event stream", connected, false, false, false, true, inAnHour, abortedByMalformed},
+		{"worker broke off", connected, false, false, false, false, inAnHour, abortedByWorker},
 	} {
 		router := New(Options{})
 		if test.stopped {
 			router.inFlight.stop()
 		}
-		request := &request{router: router, incoming: httptest.NewRequestWithContext(test.context, http.MethodPost, "/", nil), timedOut: test.timedOut,
+		request := &request{router: router, incoming: httptest.NewRequestWithContext(test.context, http.MethodPost, "/", nil), timedOut: test.timedOut, malformed: test.malformed,
 			deadline: test.deadline, clientResponse: clientResponse{writeFailed: test.writeFailed}}
 		require.Equal(t, test.cause, request.abortCause(), test.name)
 	}
--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -27,7 +27,7 @@
 	return c
 }
 
-// countStream counts a stream that ended with err, as told for endOfStream.
+// countStream counts a stream that ended with err.
 func (c *counters) countStream(end streamEnd, err error) {
 	c.streams[end].Add(1)
 	var malformed *eventstream.MalformedError
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -35,6 +35,7 @@
 
 	mayHaveRun bool             // a worker may have started to process the request
 	timedOut   bool             // the last push ended at the deadline
+	malformed  bool             // the last stream was malformed
 	sentAt     time.Time        // when the last push was sent
 	usedConns  []*upstream.Conn // connections that carried this request; a late response on one would match its Request-Id
 }
--- a/internal/router/malformed_test.go
+++ b/internal/router/malformed_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -54,7 +55,7 @@
 			require.Equal(t, "id: 1\ndata: a\n\n", string(body))
 			results := fixture.placer.pushResults()
 			require.Len(t, results, 1)
-			require.NotEqual(t, placement.ResultServed, results[0])
+			require.Equal(t, placement.ResultMalformed, results[0])
 		})
 	}
 }
@@ -104,3 +105,20 @@
 		})
 	}
 }
+
+// Guards against a stream that resumes behind a part of an event: the part and the next event would be read as one.
+func TestEventAboveTheLimitIsNotRelayedInParts(t *testing.T) {
+	fixture := newFixture(t)
+	lastIDs := make(chan string, 2)
+	large := "id: 2\ndata: " + strings.Repeat("x", 200)
+	chunks := []string{"id: 1\ndata: a\n\n", large}
+	for range 2000 { // beyond 256 KiB
+		chunks = append(chunks, strings.Repeat("x", 200))
+	}
+	fixture.addStreamWorker("", "first", lastIDs, chunks...)
+	fixture.addStreamWorker("", "second", lastIDs, "id: 2\ndata: b\n\n", "")
+	_, body := fixture.exchange(http.MethodPost, "/resume/x", "id")
+	require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", body)
+	require.Empty(t, <-lastIDs)
+	require.Equal(t, "1", <-lastIDs)
+}
--- a/internal/router/observations.go
+++ b/internal/router/observations.go
@@ -62,7 +62,7 @@
 	switch result {
 	case placement.ResultServed:
 		return evidence.Succeeded, true
-	case placement.ResultFailed, placement.ResultConnectionBroken:
+	case placement.ResultFailed, placement.ResultConnectionBroken, placement.ResultMalformed:
 		return evidence.Failed, true
 	case placement.ResultTimedOut:
 		return evidence.TimedOut, true
--- a/internal/router/observations_test.go
+++ b/internal/router/observations_test.go
@@ -29,13 +29,14 @@
 		o := newObservations()
 		o.record("fails", placement.ResultFailed)
 		o.record("breaks", placement.ResultConnectionBroken)
+		o.record("spoils", placement.ResultMalformed)
 		o.record("hangs", placement.ResultTimedOut)
 		o.record("gone", placement.ResultConnectFailed)
 		o.record("full", placement.ResultNotExecuted)
 		o.record("cancelled", placement.ResultCancelled)
 		o.record("serves", placement.ResultServed)
 		require.Equal(t, map[string]evidence.Kind{
-			"fails": evidence.Failed, "breaks": evidence.Failed, "hangs": evidence.TimedOut, "gone": evidence.Unreachable,
+			"fails": evidence.Failed, "breaks": evidence.Failed, "spoils": evidence.Failed, "hangs": evidence.TimedOut, "gone": evidence.Unreachable,
 		}, polledKinds(o))
 		require.Empty(t, polledKinds(o), "there are no new observations")
 		require.Empty(t, o.newSuspects([]fleetwire.Doubt{{Worker: "serves"}}))
--- a/internal/router/streamstats.go
+++ b/internal/router/streamstats.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,14 +23,13 @@
 
 var streamEnds = []streamEnd{streamWhole, streamMalformed, streamBroken, streamLeft}
 
-// endOfStream classifies the end of a stream. err is what ended its relay: a *eventstream.MalformedError, errClientWrite, or an
-// error of its body, which is io.EOF where the framing ended soundly.
+// endOfStream classifies the end of a stream by the error that ended its relay, which is nil if the stream was whole.
 func endOfStream(ctx context.Context, err error) streamEnd {
 	var malformed *eventstream.MalformedError
 	switch {
 	case errors.As(err, &malformed):
 		return streamMalformed
-	case errors.Is(err, io.EOF):
+	case err == nil:
 		return streamWhole
 	case ctx.Err() != nil, errors.Is(err, errClientWrite):
 		return streamLeft
--- a/internal/standin/llmworker/worker.go
+++ b/internal/standin/llmworker/worker.go
@@ -1,7 +1,7 @@
 // Package llmworker is a stand-in of a fleet's workers, on real sockets: workers of a language model, which use the simulated
 // engine of package engine, and plain workers, which answer after a fixed time. A worker reports to the judge what it receives,
-// runs and answers. On demand it fails: it truncates, corrupts, withholds or duplicates an answer, spoils a part of it within a sound framing, or resets the
-// connection.
+// runs and answers. On demand it fails: it truncates, corrupts, withholds or duplicates an answer, spoils a part of it within a
+// sound framing, or resets the connection.
 package llmworker
 
 import (
