Router: a prefill response without a usable KV handle is no success

A handle with a line end or a NUL can't be sent in a header field: each attempt at a decode worker failed before its first byte, counted as unreachable there, and the client got 503; other characters went into paths and fields of other workers. Missing or negative figures were taken for version 0.

Now a handle is a token of unreserved characters, with its tokens and version; anything else is ResultMalformed at the prefill worker, logged and counted, and the prompt goes to another.

--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -10,10 +10,12 @@
 	"weldscale/internal/eventstream"
 )
 
-// counters counts what became of workers' streams. It is safe for concurrent use.
+// counters counts what became of workers' responses. It is safe for concurrent use.
 type counters struct {
 	streams map[streamEnd]*atomic.Int64          // the keys are fixed
 	defects map[eventstream.Defect]*atomic.Int64 // of malformed streams; the keys are fixed
+	// malformedHandles counts successful prefill responses without a usable KV handle.
+	malformedHandles atomic.Int64
 }
 
 func newCounters() *counters {
@@ -46,6 +48,8 @@
 	for _, defect := range eventstream.Defects() {
 		_, _ = fmt.Fprintf(to, "weldrouter_malformed_streams_total{defect=%q} %d\n", defect, c.defects[defect].Load())
 	}
+	_, _ = fmt.Fprintln(to, "# TYPE weldrouter_malformed_handles_total counter")
+	_, _ = fmt.Fprintf(to, "weldrouter_malformed_handles_total %d\n", c.malformedHandles.Load())
 }
 
 // metricsPath is where the readiness address serves the counters.
--- a/internal/router/generation.go
+++ b/internal/router/generation.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -96,18 +95,16 @@
 	if received.response.StatusCode != http.StatusOK {
 		return placement.ResultFailed
 	}
-	var handleResponse struct {
-		KvHandle string
-		Version  int64
-	}
-	if json.Unmarshal(body, &handleResponse) != nil || handleResponse.KvHandle == "" {
-		return placement.ResultFailed
+	parsed, err := parseHandleResponse(body)
+	if err != nil {
+		q.recordMalformedHandle(target.ID, body, err)
+		return placement.ResultMalformed
 	}
 	q.handle = &kvHandle{
 		address: target.Address,
-		id:      handleResponse.KvHandle,
+		id:      parsed.KvHandle,
 		zone:    target.Zone,
-		version: handleResponse.Version,
+		version: *parsed.Version,
 		expires: time.Now().Add(q.handleTTL() - handleTTLMargin),
 	}
 	return placement.ResultServed
