Placement: a report that states no load, or a negative one, is a failed probe

A 200 on /report with {} or null made its worker look idle, a negative figure more than idle, so that it drew the work of all routers. And one worker of a stage that answered a probe by any status but 200 ended the probes of all workers of that stage, for the life of the router: another service's worker at a reused address is enough.

Now a report must state the jobs that wait and run, no figure may be negative, and a worker of a stage without a report loses its own draw only. Services without stages go unprobed after the first such answer, as before.

--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -41,7 +41,7 @@
 	classes            map[classKey]int
 	slotsPerWorker     int     // as configured, or as the first worker states them
 	meanPromptUnits    float64 // moving mean of the units that a prompt takes
-	reportsUnsupported bool    // a worker answered a probe without a report; none is probed any more
+	reportsUnsupported bool    // a worker without a stage answered a probe without a report; none is probed any more
 }
 
 // poolSettings are the fixed settings of a pool.
@@ -257,17 +257,19 @@
 // sendProbe probes a worker and reports the result for all pending probes of it.
 func (p *pool) sendProbe(id decide.WorkerID, w *worker, instance fleetwire.Instance) {
 	report, err := p.settings.prober.Probe(context.Background(), instance)
+	// All workers of a stage have reports. One that answers otherwise says nothing about the others.
+	noReports := errors.Is(err, ErrNoReport) && p.settings.stage == ""
 	status := decide.Served
 	switch {
 	case err == nil:
-	case errors.Is(err, ErrNoReport):
+	case noReports:
 	case errors.Is(err, context.DeadlineExceeded):
 		status = decide.TimedOut
 	default:
 		status = decide.ConnectFailed
 	}
 	p.withDispatcher(func(now decide.Time) {
-		if errors.Is(err, ErrNoReport) {
+		if noReports {
 			p.reportsUnsupported = true
 		}
 		if err == nil {
--- a/internal/placement/probe.go
+++ b/internal/placement/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"time"
@@ -19,30 +18,9 @@
 	probeIdleConns = 2 // idle connections that are kept to each worker
 )
 
-// Report is the load report of a worker.
-type Report struct {
-	Stage      string // empty: not stated
-	Busy       bool   // it executes an order and accepts no new work
-	Sequence   uint64
-	Queued     int
-	Running    int
-	KvUsed     int64 // KV cache in tokens
-	KvCapacity int64
-	KvHandles  int // processed prompts that wait for a decode worker to fetch their KV cache
-}
-
-// Load is the load that a worker states with an answer.
-type Load struct {
-	Running int
-	Queued  int
-}
-
-// ErrNoReport is returned for a worker that answers a probe but has no load report.
-var ErrNoReport = eris.New("the worker has no report")
-
 // Prober gets the current load report of a worker. Probe may be called concurrently.
 type Prober interface {
-	// Probe returns an error that wraps ErrNoReport if the worker answers without a report.
+	// Probe returns an error that wraps ErrNoReport if the worker answers without a report, or ErrMalformedReport.
 	Probe(ctx context.Context, target fleetwire.Instance) (Report, error)
 }
 
@@ -84,9 +62,5 @@
 	if response.StatusCode != http.StatusOK {
 		return Report{}, eris.Wrapf(ErrNoReport, "status %d", response.StatusCode)
 	}
-	var report Report
-	if err := json.Unmarshal(body, &report); err != nil {
-		return Report{}, eris.Wrap(err, "decode report")
-	}
-	return report, nil
+	return decodeReport(body)
 }
