Transport: a body is one whole message of the right media type, or an error

Found beside the incident, of the same cause, by reading: bytes behind a message and answers of another media type were taken for the message, at callers and at servers. No case of it was seen.

--- a/coordination/transport/transport.go
+++ b/coordination/transport/transport.go
@@ -27,6 +27,9 @@
 // ErrStatus is the root of the errors of calls whose response has a status other than 200.
 var ErrStatus = eris.New("unexpected status")
 
+// ErrMalformed is the root of the errors of bodies that are not one message.
+var ErrMalformed = eris.New("malformed message")
+
 // Client sends calls over its own pool of connections. It is safe for use by several goroutines.
 type Client struct {
 	http *http.Transport
@@ -88,7 +91,25 @@
 	if response.StatusCode != http.StatusOK {
 		return eris.Wrapf(ErrStatus, "%s%s: %d", address, path, response.StatusCode)
 	}
-	return eris.Wrapf(msgpack.Unmarshal(responseBody, reply), "decode response of %s%s", address, path)
+	if response.Header.Get("Content-Type") != ContentType {
+		return eris.Wrapf(ErrMalformed, "%s%s: media type %q", address, path, response.Header.Get("Content-Type"))
+	}
+	return eris.Wrapf(decode(responseBody, reply), "decode response of %s%s", address, path)
+}
+
+// decode decodes a message that must fill the whole body.
+func decode(body []byte, message any) error {
+	reader := bytes.NewReader(body)
+	decoder := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(decoder)
+	decoder.Reset(reader)
+	if err := decoder.Decode(message); err != nil {
+		return eris.Wrapf(ErrMalformed, "%v", err)
+	}
+	if reader.Len() > 0 {
+		return eris.Wrapf(ErrMalformed, "%d bytes after the message", reader.Len())
+	}
+	return nil
 }
 
 // Close closes the idle connections.
@@ -104,7 +125,7 @@
 			return
 		}
 		var request Request
-		if err := msgpack.Unmarshal(body, &request); err != nil {
+		if err := decode(body, &request); err != nil {
 			http.Error(w, "decode", http.StatusBadRequest)
 			return
 		}
