Instances: a page that states no instances is an error, not an empty list

Found beside the incident, of the same cause, by reading: a 200 with {} or null was taken for a list without workers, which ends the use of all of them. An empty list stays one. No case was seen.

Evidence: four of the five new cases of TestReadReturnsErrors fail on the code before.

--- a/internal/instances/decode.go
+++ b/internal/instances/decode.go
@@ -41,6 +41,9 @@
 	if err := json.Unmarshal(body, &decoded); err != nil {
 		return nil, "", eris.Wrap(err, "decode page of instances")
 	}
+	if decoded.Instances == nil {
+		return nil, "", eris.New("a page states no instances") // not the same as an empty list, which ends the use of all workers
+	}
 	list := make([]fleetwire.Instance, 0, len(decoded.Instances))
 	for _, entry := range decoded.Instances {
 		if entry.ID == "" || entry.Address == "" {
--- a/internal/instances/instances_test.go
+++ b/internal/instances/instances_test.go
@@ -63,6 +63,11 @@
 		"server error":         {http.StatusInternalServerError, "", ErrPlatform},
 		"truncated page":       {http.StatusOK, lastPage[:50], nil},
 		"no id":                {http.StatusOK, `{"Instances":[{"Address":"10.0.0.1:1"}]}`, nil},
+		"no page":              {http.StatusOK, `{}`, nil},
+		"null":                 {http.StatusOK, `null`, nil},
+		"no instances":         {http.StatusOK, `{"NextPageToken":null}`, nil},
+		"null instances":       {http.StatusOK, `{"Instances":null,"NextPageToken":null}`, nil},
+		"two pages at once":    {http.StatusOK, lastPage + lastPage, nil},
 		"too many pages":       {http.StatusOK, firstPage, ErrPlatform},
 	}
 	for name, each := range cases {
