Router: HEAD requests on streaming routes are no streams

Beside the new check of streams: the answer to a HEAD request has no body, and would have counted as an empty stream and against its worker. It is relayed as any answer without one, also where it states no length, which was refused before.

Tests also hold what a client's own Last-Event-Id does: it is passed on, and nothing of the stream is measured by it, so that no client can make a worker count as malformed.

--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -97,15 +97,18 @@
 }
 
 // isRelayable reports whether a response may be relayed. A success must have a Response-Signature and no Content-Encoding, and
-// its length must be known or its body chunked, so that a truncated body is detected.
+// its length must be known or its body chunked, so that a truncated body is detected. The response to a HEAD request has no body.
 func isRelayable(response *http.Response) bool {
 	if response.StatusCode/100 != 2 {
 		return true
 	}
-	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || isHead(response)
 	return framed && response.Header.Get(headerSignature) != "" && response.Header.Get("Content-Encoding") == ""
 }
 
+// isHead reports whether a response answers a HEAD request.
+func isHead(response *http.Response) bool { return response.Request.Method == http.MethodHead }
+
 // isWorkerFailure reports whether a status is a failure of the worker. 429 and 408 are included, because without Not-Executed
 // they don't guarantee that the request has not run.
 func isWorkerFailure(status int) bool {
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -94,7 +94,7 @@
 		if received == nil {
 			return result
 		}
-		if q.streaming() && received.response.StatusCode/100 == 2 {
+		if q.streaming() && received.response.StatusCode/100 == 2 && !isHead(received.response) {
 			return q.relayStream(ctx, received)
 		}
 		return q.relayResponse(ctx, received)
--- a/internal/router/malformed_test.go
+++ b/internal/router/malformed_test.go
@@ -122,3 +122,43 @@
 	require.Empty(t, <-lastIDs)
 	require.Equal(t, "1", <-lastIDs)
 }
+
+// Guards against a HEAD request on a streaming route counting as an empty stream, and so against its worker.
+func TestHeadRequestOnStreamingRouteIsNoStream(t *testing.T) {
+	fixture := newFixture(t)
+	fixture.addWorker("", func(w http.ResponseWriter, r *http.Request) { setValidHeader(w, r, "s") })
+	response, body := fixture.exchange(http.MethodHead, "/stream/x", "id")
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Equal(t, "s", response.Header.Get("Response-Signature"))
+	require.Empty(t, body)
+	require.Equal(t, []placement.Result{placement.ResultServed}, fixture.placer.pushResults())
+}
+
+// Guards against a client's own Last-Event-Id being taken for an ID of the worker's stream: the worker would count as malformed.
+func TestStreamThatTheClientResumesIsRelayedAsItIs(t *testing.T) {
+	for name, each := range map[string]struct {
+		lastEventID string
+		chunks      []string
+		want        string
+	}{
+		"nothing is left":          {"7", []string{""}, ""},
+		"next events":              {"7", []string{"id: 8\ndata: a\n\n", ""}, "id: 8\ndata: a\n\n"},
+		"an ID that none has":      {"999", []string{"id: 8\ndata: a\n\n", ""}, "id: 8\ndata: a\n\n"},
+		"an ID that is no number":  {"x", []string{"id: 1\ndata: a\n\n", ""}, "id: 1\ndata: a\n\n"},
+		"a worker that ignores it": {"7", []string{"id: 1\ndata: a\n\n", "id: 8\ndata: b\n\n", ""}, "id: 1\ndata: a\n\nid: 8\ndata: b\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fixture := newFixture(t)
+			lastIDs := make(chan string, 1)
+			fixture.addStreamWorker("", "s", lastIDs, each.chunks...)
+			request := fixture.newRequest(http.MethodPost, "/resume/x", "id", "")
+			request.Header.Set("Last-Event-Id", each.lastEventID)
+			response := fixture.send(request)
+			body, err := io.ReadAll(response.Body)
+			require.NoError(t, err)
+			require.Equal(t, "s", response.Header.Get("Response-Signature"))
+			require.Equal(t, each.want, string(body))
+			require.Equal(t, each.lastEventID, <-lastIDs)
+		})
+	}
+}
