Router: limits at the largest 64-bit number neither refuse heads nor empty bodies

MaxHeaderBytes within 8 KiB of the largest number overflowed, and every head got 431; MaxBodyBytes at that number overflowed too, and a chunked body reached the worker empty.

Both new cases fail on the code before.

--- a/internal/router/headlimit.go
+++ b/internal/router/headlimit.go
@@ -81,7 +81,7 @@
 	if limits.MaxHeaderBytes <= 0 {
 		return defaultHeaderBytes + headOverhead
 	}
-	return int64(limits.MaxHeaderBytes) + headOverhead
+	return min(int64(limits.MaxHeaderBytes), noHeadLimit-headOverhead) + headOverhead
 }
 
 // trackHead limits the next head on a connection that waits for one.
--- a/internal/router/headlimit_test.go
+++ b/internal/router/headlimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -55,6 +56,7 @@
 		{1 << 20, 600 << 10, http.StatusOK}, {1 << 20, 2 << 20, http.StatusRequestHeaderFieldsTooLarge},
 		{16 << 10, 15 << 10, http.StatusOK}, {16 << 10, 17 << 10, http.StatusRequestHeaderFieldsTooLarge},
 		{16 << 10, 100 << 10, http.StatusRequestHeaderFieldsTooLarge},
+		{math.MaxInt64, 100 << 10, http.StatusOK}, {math.MaxInt64 - headOverhead + 1, 100 << 10, http.StatusOK},
 		{0, 100 << 10, http.StatusOK}, {0, 300 << 10, http.StatusRequestHeaderFieldsTooLarge},
 	} {
 		fixture.withMaxHeaderBytes(test.limit)
--- a/internal/router/ingress.go
+++ b/internal/router/ingress.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"os"
 	"strconv"
@@ -173,7 +174,7 @@
 	if maxBytes <= 0 {
 		return io.ReadAll(incoming.Body)
 	}
-	body, err := io.ReadAll(io.LimitReader(incoming.Body, maxBytes+1))
+	body, err := io.ReadAll(io.LimitReader(incoming.Body, min(maxBytes, math.MaxInt64-1)+1))
 	if err == nil && int64(len(body)) > maxBytes {
 		err = errBodyTooLarge
 	}
--- a/internal/router/ingress_test.go
+++ b/internal/router/ingress_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -288,3 +289,23 @@
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
 	require.Equal(t, []placement.Result{placement.ResultNotExecuted}, fixture.placer.pushResults())
 }
+
+// Guards against a changed body: with the largest possible limit, the limit of the reader overflowed and cut chunked bodies to
+// nothing.
+func TestChunkedBodyIsForwardedUnderAnyLimit(t *testing.T) {
+	for _, limit := range []int64{0, 6, math.MaxInt64 - 1, math.MaxInt64} {
+		fixture := newFixture(t)
+		fixture.config.Limits.MaxBodyBytes = limit
+		fixture.update()
+		bodies := make(chan string, 1)
+		fixture.addWorker("", func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			bodies <- string(body)
+			setValidHeader(w, r, "stamp")
+		})
+		request := fixture.newRequest(http.MethodPost, "/unsafe/x", "id", "prompt")
+		request.ContentLength, request.TransferEncoding = -1, []string{"chunked"}
+		require.Equal(t, http.StatusOK, fixture.send(request).StatusCode)
+		require.Equal(t, "prompt", receive(t, bodies), limit)
+	}
+}
