Placement: a lead from before a pause refuses nothing after it

The gate for urgency took the last lead for one that had lasted through a pause: after 5 s without a job, or any longer, a kind was refused at the full fraction. A kind's numbers fade before its lead is taken now, and a lead counts for a second at most between two jobs.

TestLeadFromBeforeAPauseRefusesNothingAfterIt fails on the code before, 0.9 after a pause of 5 s; the package's plays of crowded workers pass as before.

--- a/internal/placement/urgency.go
+++ b/internal/placement/urgency.go
@@ -17,6 +17,8 @@
 	maxShareLead = 0.02
 	// refusalGain is the change per second of the refused fraction, for each unit by which the lead exceeds maxShareLead.
 	refusalGain = 0.5
+	// maxLeadTime is the longest time between two jobs of a kind for which its lead counts as having lasted.
+	maxLeadTime = time.Second
 	// maxRefusal leaves every kind a part of the workers, however badly a more urgent one fares.
 	maxRefusal = 0.9
 	// refusalLogInterval is the least time between two log messages about refusals of one service.
@@ -96,13 +98,14 @@
 		return
 	}
 	kind.updatedAt = now
+	kind.decay(passed)
 	if passed > shareWindow { // the lead is that of a time long gone
 		kind.refusal = 0
+		return
 	}
 	lead := g.shareLead(level, now)
-	kind.refusal += refusalGain * passed.Seconds() * (lead - maxShareLead)
+	kind.refusal += refusalGain * min(passed, maxLeadTime).Seconds() * (lead - maxShareLead)
 	kind.refusal = min(max(kind.refusal, 0), maxRefusal)
-	kind.decay(passed)
 }
 
 // shareLead returns how much more often the jobs of a kind are served than those of the more urgent kind that is served least.
--- a/internal/placement/urgency_gate_test.go
+++ b/internal/placement/urgency_gate_test.go
@@ -58,6 +58,20 @@
 	require.Zero(t, gateLoad(gate, start.Add(2*time.Hour), 2*time.Second, [2]float64{1, 1}), "after a pause")
 }
 
+// Guards against jobs that are refused after a pause, as if the lead from before it had lasted through it.
+func TestLeadFromBeforeAPauseRefusesNothingAfterIt(t *testing.T) {
+	for _, pause := range []time.Duration{2 * time.Second, shareWindow, time.Minute, time.Hour} {
+		gate, start := newUrgencyGate(), time.Now()
+		gateLoad(gate, start, time.Second, [2]float64{0.5, 1})
+		before := gate.kinds[1].refusal
+		gate.admits(1, start.Add(time.Second+pause))
+		require.LessOrEqual(t, gate.kinds[1].refusal, before+refusalGain*maxLeadTime.Seconds(), pause)
+		if pause > shareWindow {
+			require.Zero(t, gate.kinds[1].refusal, pause)
+		}
+	}
+}
+
 func TestRefusalsAreLoggedInIntervals(t *testing.T) {
 	gate, start := newUrgencyGate(), time.Now()
 	require.Zero(t, gate.dueLog(start), "nothing was refused")
