A status 101 is a broken answer, not a body without an end

Found beside the incident, of the same cause, by reading: net/http hands the bare connection over as the body of a 101, and the request's context no longer ends the reading of it. A worker that sent one and then nothing held the request beyond its deadline, on every kind of route; a probe, a page of the list or a call between programs would have hung alike. No case was seen.

The connection to a worker treats it as an error. The other callers read bodies by one function now, transport.ReadBody, which refuses it, and bodies above the limit, which were cut there before.

--- a/coordination/transport/transport.go
+++ b/coordination/transport/transport.go
@@ -84,7 +84,7 @@
 		return eris.Wrapf(err, "call %s%s", address, path)
 	}
 	defer func() { _ = response.Body.Close() }()
-	responseBody, err := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	responseBody, err := ReadBody(response, maxMessageBytes)
 	if err != nil {
 		return eris.Wrapf(err, "read response of %s%s", address, path)
 	}
@@ -97,6 +97,19 @@
 	return eris.Wrapf(decode(responseBody, reply), "decode response of %s%s", address, path)
 }
 
+// ReadBody reads the whole body of a response. It returns ErrMalformed for a body above the limit and for status 101: such a body is
+// the connection itself, of which the reading would not end with the request's context.
+func ReadBody(response *http.Response, limit int64) ([]byte, error) {
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return nil, eris.Wrap(ErrMalformed, "it switches protocols")
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = eris.Wrapf(ErrMalformed, "more than %d bytes", limit)
+	}
+	return body, err
+}
+
 // decode decodes a message that must fill the whole body.
 func decode(body []byte, message any) error {
 	reader := bytes.NewReader(body)
--- a/coordination/transport/transport_test.go
+++ b/coordination/transport/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -84,3 +85,30 @@
 	}))
 	require.ErrorIs(t, err, ErrStatus)
 }
+
+// Guards against a call that never ends: the context of a request no longer ends the reading after a status 101.
+func TestBodyAfterSwitchedProtocolsIsNotRead(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	_, err := call(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, buffered, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = buffered.WriteString("HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n")
+		_ = buffered.Flush()
+		go func() {
+			<-release
+			_ = conn.Close()
+		}()
+	}))
+	require.ErrorIs(t, err, ErrMalformed)
+}
+
+func TestReadBodyRefusesBodiesAboveTheLimit(t *testing.T) {
+	for size, want := range map[int]error{4: nil, 5: nil, 6: ErrMalformed} {
+		response := &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(strings.Repeat("x", size)))}
+		_, err := ReadBody(response, 5)
+		require.ErrorIs(t, err, want)
+	}
+}
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"weldscale/coordination/transport"
 	"weldscale/internal/pause"
 )
 
@@ -176,7 +176,7 @@
 		return reply{}, eris.Wrap(err, target)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	body, err := transport.ReadBody(response, maxReplyBytes)
 	if err != nil {
 		return reply{}, eris.Wrap(err, target)
 	}
--- a/internal/instances/reader.go
+++ b/internal/instances/reader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -83,7 +82,7 @@
 		return nil, "", eris.Wrap(err, "call the platform")
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxPageBytes))
+	body, err := transport.ReadBody(response, maxPageBytes)
 	if err != nil {
 		return nil, "", eris.Wrap(err, "read page of instances")
 	}
--- a/internal/placement/probe.go
+++ b/internal/placement/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -55,7 +54,7 @@
 		return Report{}, eris.Wrap(err, "probe")
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+	body, err := transport.ReadBody(response, maxReportBytes)
 	if err != nil {
 		return Report{}, eris.Wrap(err, "read report")
 	}
--- a/internal/router/upstream/conn.go
+++ b/internal/router/upstream/conn.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Conn is a connection to one worker. One caller at a time owns it, from Acquire to Release or Discard.
@@ -39,7 +41,8 @@
 // maxVerifyConnectTime limits how much of a slow connect counts toward the time for which VerifyOpen watches a connection.
 const maxVerifyConnectTime = 17 * time.Millisecond
 
-// RoundTrip sends the request at most once and returns the response with its body unread.
+// RoundTrip sends the request at most once and returns the response with its body unread. A response that switches protocols is
+// ErrSwitchedProtocols: its body is the connection itself, of which the reading would not end with the request's context.
 func (c *Conn) RoundTrip(request *http.Request) (*http.Response, error) {
 	c.tracked.writeStarted.Store(false)
 	started := time.Now()
@@ -49,6 +52,10 @@
 		c.pool.staleLimit.recordFailure(now, c.idleTime, now.Sub(started), err)
 		return nil, err
 	}
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		_ = response.Body.Close()
+		return nil, eris.Wrap(ErrSwitchedProtocols, c.address)
+	}
 	c.closeRequested = response.Close
 	if timeout := keepAliveTimeout(response.Header.Get("Keep-Alive")); timeout > 0 {
 		c.idleTimeout = timeout
--- a/internal/router/upstream/upstream.go
+++ b/internal/router/upstream/upstream.go
@@ -14,6 +14,9 @@
 	"github.com/rotisserie/eris"
 )
 
+// ErrSwitchedProtocols is the root of the error of a response with status 101, which no request asks for.
+var ErrSwitchedProtocols = eris.New("the worker switched protocols")
+
 // Errors returned by Pool.Acquire.
 var (
 	// ErrExhausted means that this process already holds its maximum number of connections to the worker.
