Router: a stream that a client resumes goes on after the event that it names

Cause: a worker may go on at or before the event that is named. The router skipped what came twice only where it had itself resumed the stream, not where the client had.

Now it skips on resumable routes whoever named the event. What a client merely claims to have decides nothing else: no worker counts as malformed by it.

--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -23,7 +23,10 @@
 // Resume tells from which event on a stream was requested. The zero value stands for its beginning.
 type Resume struct {
 	Requested bool   // the request had a Last-Event-Id, so that the stream may have no event left
-	After     string // Event.ID of the last event that the client has of this stream; empty if it is not known to have any
+	After     string // events up to this ID are skipped, because the client has them; none if it is not a whole number
+	// Relayed is true if the event After was relayed, so that it is an event of this stream, which can't end before it. It is
+	// false if the client alone names it.
+	Relayed bool
 }
 
 // Scanner checks a stream and splits it into events. The stream may be fed in pieces of any size.
@@ -36,6 +39,7 @@
 	mayBeEmpty bool
 	after      uint64 // value of Resume.After
 	hasAfter   bool
+	relayed    bool // value of Resume.Relayed
 
 	found  bool   // the stream has had an event
 	lastID uint64 // its ID
@@ -45,7 +49,7 @@
 // NewScanner returns a scanner of a stream.
 func NewScanner(resume Resume) *Scanner {
 	after, err := strconv.ParseUint(resume.After, 10, 64)
-	return &Scanner{mayBeEmpty: resume.Requested, after: after, hasAfter: err == nil}
+	return &Scanner{mayBeEmpty: resume.Requested, after: after, hasAfter: err == nil, relayed: resume.Relayed}
 }
 
 // Feed appends the next bytes of the stream.
@@ -132,7 +136,7 @@
 		s.fail(DefectUnfinished, rest)
 	case !s.found && !s.mayBeEmpty:
 		s.fail(DefectEmpty, nil)
-	case s.found && s.hasAfter && s.lastID < s.after:
+	case s.found && s.relayed && s.lastID < s.after:
 		s.fail(DefectBehind, nil)
 	}
 	return s.err
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 
 	"weldscale/internal/eventstream"
 	"weldscale/internal/placement"
@@ -20,10 +21,7 @@
 	if q.handle != nil && q.handle.offeredNow {
 		q.handle.taken = true
 	}
-	relay := eventRelay{request: q, response: received, scanner: eventstream.NewScanner(eventstream.Resume{
-		Requested: received.response.Request.Header.Get(headerLastEventID) != "",
-		After:     q.clientResponse.lastID,
-	})}
+	relay := eventRelay{request: q, response: received, scanner: eventstream.NewScanner(q.resume(received.response.Request.Header))}
 	err := relay.relayEvents()
 	q.recordStream(ctx, received, err)
 	switch {
@@ -37,6 +35,16 @@
 	}
 }
 
+// resume tells after which event a stream was requested with the header.
+func (q *request) resume(header http.Header) eventstream.Resume {
+	lastEventID := header.Get(headerLastEventID)
+	resume := eventstream.Resume{Requested: lastEventID != "", Relayed: q.clientResponse.lastID != ""}
+	if q.route.Resumable {
+		resume.After = lastEventID
+	}
+	return resume
+}
+
 // errClientWrite means that the relay of a stream ended because a write to the client failed.
 var errClientWrite = errors.New("write to the client")
 
