Judge: a stream that resumes after its last piece is complete without one

A client that was cut behind the last event gets an empty stream for what follows; the judge took it for one that ends early. It knows the total now from the events that the client had; without it, or below it, a complete stream without a piece is a violation as before. Both have a case.

--- a/internal/standin/client/client.go
+++ b/internal/standin/client/client.go
@@ -173,6 +173,7 @@
 	tokenCount, prefixHash string
 	body                   []byte
 	received               int // stream tokens received so far
+	total                  int // tokens of the whole stream, as the events tell
 	lastEvent              time.Time
 	latency                time.Duration
 	gapExceeded            bool // a gap between two events exceeded the target
@@ -252,7 +253,7 @@
 	target := q.Route.PathPrefix + q.id
 	q.group.Judge.Sent(judge.Request{ID: id, Services: q.services(), Idempotent: q.idempotent(), Resumable: q.Route.Resumable,
 		MaxAttempts: q.Route.MaxAttempts, Fingerprint: judge.Fingerprint(http.MethodPost, target,
-			q.body), ResumeAfter: q.received, At: time.Now()})
+			q.body), ResumeAfter: q.received, ResumeTotal: q.total, At: time.Now()})
 	sent := q.send(ctx, number, target, id)
 	response, err := sent.response, sent.err
 	if err != nil {
@@ -338,6 +339,6 @@
 		q.gapExceeded = true
 	}
 	q.lastEvent = now
-	q.received = piece.To
+	q.received, q.total = piece.To, piece.Total
 	got.Pieces = append(got.Pieces, piece)
 }
--- a/internal/standin/judge/answers.go
+++ b/internal/standin/judge/answers.go
@@ -67,11 +67,20 @@
 		}
 		next = piece.To + 1
 	}
-	if n := len(answer.Pieces); answer.Complete && (n == 0 || answer.Pieces[n-1].To != answer.Pieces[n-1].Total) {
+	if answer.Complete && !endsStream(r, answer.Pieces) {
 		c.addViolation(StreamOrder, "%s: ends as complete after %d tokens", r.ID, next-1)
 	}
 }
 
+// endsStream reports whether the client has the whole stream with these pieces. A stream that resumes after its last piece has none.
+func endsStream(r *requestState, pieces []Piece) bool {
+	if len(pieces) == 0 {
+		return r.ResumeTotal > 0 && r.ResumeAfter == r.ResumeTotal
+	}
+	last := pieces[len(pieces)-1]
+	return last.To == last.Total
+}
+
 // checkRejection finds a non-idempotent request that was rejected and ran. It is called for each new run and rejection.
 func (c *Checker) checkRejection(r *requestState) {
 	if r.rejection != 0 && len(r.runs) > 0 && !r.Idempotent {
--- a/internal/standin/judge/judge.go
+++ b/internal/standin/judge/judge.go
@@ -68,6 +68,7 @@
 	MaxAttempts int
 	Fingerprint string // result of Fingerprint for method, target and body
 	ResumeAfter int    // tokens that the client has from an earlier attempt
+	ResumeTotal int    // tokens of the whole stream, as that attempt's events told; 0: none came
 	At          time.Time
 }
 
--- a/internal/standin/judge/judge_test.go
+++ b/internal/standin/judge/judge_test.go
@@ -83,6 +83,17 @@
 			c.Ran(run("a", "w"))
 			c.Answered(stream("", pieces(c, "a@w", 3, 1, 2)...))
 		}},
+		"resumed stream ends early without a piece": {StreamOrder, func(c *Checker) {
+			resumed := request("a")
+			resumed.ResumeAfter, resumed.ResumeTotal = 2, 3
+			c.Sent(resumed)
+			c.Ran(run("a", "w"))
+			c.Answered(stream(""))
+		}},
+		"stream without a piece": {StreamOrder, func(c *Checker) {
+			c.Ran(run("a", "w"))
+			c.Answered(stream(""))
+		}},
 		"a piece that no run generated": {WrongAnswer, func(c *Checker) {
 			c.Ran(run("a", "w"))
 			c.Answered(stream("", Piece{Stamp: "a@w", From: 1, To: 1, Total: 1}))
@@ -174,3 +185,14 @@
 	c.Arrived(Arrival{ID: "c", Worker: "w", At: start.Add(time.Hour), Misdirected: true})
 	require.Empty(t, c.Report())
 }
+
+// A client that was cut after the last event of a stream asks for what follows, which is nothing.
+func TestStreamResumedAfterItsLastPieceIsComplete(t *testing.T) {
+	c := New(DefaultBounds)
+	resumed := request("a")
+	resumed.ResumeAfter, resumed.ResumeTotal = 3, 3
+	c.Sent(resumed)
+	c.Ran(run("a", "w"))
+	c.Answered(Answer{ID: "a", Status: 200, Stamp: "a@w", Complete: true, Stream: true})
+	require.Empty(t, c.Report())
+}
