Router: log and counters also tell of streams that are refused by their head

A stream without a signature, with an encoding, or one that ends with its connection was refused without a word. What is relayed is unchanged.

--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -15,6 +15,7 @@
 // worker after the last one, in the same response.
 func (q *request) relayStream(ctx context.Context, received *workerResponse) placement.Result {
 	if !isRelayable(received.response) {
+		q.recordStream(ctx, received, errNotRelayable)
 		received.discard()
 		return q.brokenResult(ctx)
 	}
--- a/internal/router/streamend.go
+++ b/internal/router/streamend.go
@@ -18,10 +18,14 @@
 	streamWhole     streamEnd = "whole"     // it ended after an event, as its framing did
 	streamMalformed streamEnd = "malformed" // it was not what the protocol allows, see eventstream.Defect
 	streamBroken    streamEnd = "broken"    // its connection or its framing broke
+	streamUnusable  streamEnd = "unusable"  // its head says that it can't be relayed, see isRelayable
 	streamLeft      streamEnd = "left"      // the router left it: the client has gone, time is over or the process ends
 )
 
-var streamEnds = []streamEnd{streamWhole, streamMalformed, streamBroken, streamLeft}
+var streamEnds = []streamEnd{streamWhole, streamMalformed, streamBroken, streamUnusable, streamLeft}
+
+// errNotRelayable means that a stream was not relayed because of its head.
+var errNotRelayable = errors.New("no signature, no length or chunks, or an encoding")
 
 // endOfStream classifies the end of a stream by the error that ended its relay, which is nil if the stream was whole.
 func endOfStream(ctx context.Context, err error) streamEnd {
@@ -31,6 +35,8 @@
 		return streamMalformed
 	case err == nil:
 		return streamWhole
+	case errors.Is(err, errNotRelayable):
+		return streamUnusable
 	case ctx.Err() != nil, errors.Is(err, errClientWrite):
 		return streamLeft
 	default:
@@ -42,7 +48,7 @@
 func (q *request) recordStream(ctx context.Context, received *workerResponse, err error) {
 	end := endOfStream(ctx, err)
 	q.router.counters.countStream(end, err)
-	if end != streamMalformed && end != streamBroken || !q.router.streamLogLimiter.allow(time.Now()) {
+	if end == streamWhole || end == streamLeft || !q.router.streamLogLimiter.allow(time.Now()) {
 		return
 	}
 	q.logWarning("worker stream not whole",
--- a/internal/router/streamend_test.go
+++ b/internal/router/streamend_test.go
@@ -63,6 +63,18 @@
 	}
 }
 
+func TestStreamThatEndsWithItsConnectionIsUnusable(t *testing.T) {
+	fixture := newFixture(t)
+	fixture.addRawWorker("", func(conn net.Conn, next func() *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: "+next().Header.Get("Request-Id")+
+			"\r\nResponse-Signature: s\r\n\r\nid: 1\ndata: a\n\n")
+	})
+	response, body := fixture.exchange(http.MethodPost, "/stream/x", "id")
+	require.Equal(t, http.StatusBadGateway, response.StatusCode)
+	require.Empty(t, body)
+	require.EqualValues(t, 1, fixture.router.counters.streams[streamUnusable].Load())
+}
+
 func TestReadinessAddressServesCounters(t *testing.T) {
 	router := New(Options{})
 	router.counters.countStream(streamMalformed, &eventstream.MalformedError{Defect: eventstream.DefectNoID})
