--- a/internal/eventstream/scanner_test.go
+++ b/internal/eventstream/scanner_test.go
@@ -44,10 +44,18 @@
 			want, wantIDs = append(want, text.String()), append(wantIDs, fmt.Sprint(id))
 			id += uint64(rapid.IntRange(1, 40).Draw(t, "step"))
 		}
-		events, ids, err := scan(NewScanner(Resume{}), strings.Join(want, ""), func(remaining int) int {
+		rest := rapid.SampledFrom([]string{"", "id: 99999", "data: x\n", "data: x\r\n\r"}).Draw(t, "rest")
+		events, ids, err := scan(NewScanner(Resume{}), strings.Join(want, "")+rest, func(remaining int) int {
 			return rapid.IntRange(1, remaining).Draw(t, "size")
 		})
-		require.NoError(t, err)
+		if rest == "" {
+			require.NoError(t, err)
+		} else {
+			var malformed *MalformedError
+			require.ErrorAs(t, err, &malformed)
+			require.Equal(t, DefectUnfinished, malformed.Defect)
+			require.Equal(t, rest, string(malformed.Sample))
+		}
 		require.Equal(t, want, events)
 		require.Equal(t, wantIDs, ids)
 	})
