Stand-ins: a worker with an engine also answers twice

FaultDuplicateAnswer did nothing there. It now sends the stream whole, with a length, and once more in the place of the next answer on the connection. The soak draws it among the other faults.

--- a/internal/standin/llmworker/faults.go
+++ b/internal/standin/llmworker/faults.go
@@ -15,7 +15,7 @@
 	FaultNone            Fault = iota
 	FaultTruncate              // runs, and closes the connection within the second event or within the body
 	FaultMalformed             // runs, and sends bytes that are not an HTTP answer
-	FaultDuplicateAnswer       // answers, and sends the same answer to the next request on that connection
+	FaultDuplicateAnswer       // answers with a length, and sends the same answer to the next request on that connection
 	FaultSilent                // runs, and never answers
 	FaultReset                 // runs, and resets the connection before its answer
 	FaultServerError           // runs, and answers 500
@@ -31,8 +31,8 @@
 	FaultRepeatedEvent // sends the event twice, and goes on
 )
 
-// AnswerFaults are the faults that break off or spoil an answer.
-var AnswerFaults = []Fault{FaultTruncate, FaultMalformed, FaultReset, FaultForeignEnd, FaultForeignBreak, FaultUnfinishedEnd,
+// AnswerFaults are the faults that break off, spoil or repeat an answer.
+var AnswerFaults = []Fault{FaultTruncate, FaultMalformed, FaultReset, FaultDuplicateAnswer, FaultForeignEnd, FaultForeignBreak, FaultUnfinishedEnd,
 	FaultLostID, FaultRepeatedEvent}
 
 // spoilsAnswer reports whether the fault spoils an answer within a sound framing.
--- a/internal/standin/llmworker/model.go
+++ b/internal/standin/llmworker/model.go
@@ -102,6 +102,7 @@
 	incoming       *incoming
 	stamp          string // empty until the first token
 	events         int    // events of tokens so far
+	held           []byte // the answer so far, if it is to be sent twice
 }
 
 // writeEvents writes the job's events to the client until the job ends.
@@ -143,6 +144,9 @@
 		}
 		return s.writeTokens(event)
 	}
+	if s.held != nil {
+		s.worker.answerTwice(s.responseWriter, s.responseWriter.Header(), s.held)
+	}
 	return true
 }
 
@@ -184,6 +188,10 @@
 }
 
 func (s *stream) write(text string) {
+	if s.incoming.fault == FaultDuplicateAnswer {
+		s.held = append(s.held, text...)
+		return
+	}
 	_, _ = s.responseWriter.Write([]byte(text))
 	_ = http.NewResponseController(s.responseWriter).Flush()
 }
--- a/internal/standin/llmworker/worker_test.go
+++ b/internal/standin/llmworker/worker_test.go
@@ -1,7 +1,7 @@
 package llmworker
 
 import (
-	"bytes"
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -291,19 +291,29 @@
 }
 
 func TestDuplicateAnswerReplacesTheNextAnswer(t *testing.T) {
-	f := newFixture(t)
-	w := f.start(Config{Name: "w"})
-	w.FailNext(FaultDuplicateAnswer)
-	conn, err := net.Dial("tcp", w.Address())
-	require.NoError(t, err)
-	defer func() { _ = conn.Close() }()
-	for _, id := range []string{"a", "b"} {
-		_, err = fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\n\r\n", id)
-		require.NoError(t, err)
-		buffer := make([]byte, 4096)
-		n, err := conn.Read(buffer)
+	for _, model := range []*engine.Config{nil, withStage(engine.StageDecode)} {
+		f := newFixture(t)
+		w := f.start(Config{Name: "w", Engine: model})
+		w.FailNext(FaultDuplicateAnswer)
+		conn, err := net.Dial("tcp", w.Address())
 		require.NoError(t, err)
-		require.True(t, bytes.Contains(buffer[:n], []byte("Request-Id: a")), "%s", buffer[:n])
+		reader := bufio.NewReader(conn)
+		var bodies []string
+		for _, id := range []string{"a", "b"} {
+			f.judge.Sent(judge.Request{ID: id, Services: []string{"s"}, Fingerprint: judge.Fingerprint("GET", "/", nil), At: time.Now()})
+			_, err = fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nToken-Count: 10,8\r\n\r\n", id)
+			require.NoError(t, err)
+			response, err := http.ReadResponse(reader, nil)
+			require.NoError(t, err)
+			require.Equal(t, "a", response.Header.Get("Request-Id"))
+			require.Positive(t, response.ContentLength)
+			body, err := io.ReadAll(response.Body)
+			require.NoError(t, err)
+			bodies = append(bodies, string(body))
+		}
+		require.NoError(t, conn.Close())
+		require.Equal(t, bodies[0], bodies[1])
+		require.Equal(t, model != nil, strings.HasSuffix(bodies[0], "/8\n\n"), "a stream is whole")
 	}
 }
 
