Soak: the workers spoil no answers while the settled fleet is checked

The probe's route is in that configuration alone, so the router applied it, and the worker spoilt the answer. With many routers a probe late in the row, which is not sent again, is hit now and then, and a router's part of the retry budget is small.

The check is as strict as it was before workers spoilt answers: it takes a served request. The workers stop spoiling before the fleet settles.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -75,6 +75,7 @@
 	fleet      *fleet.Fleet
 	supervisor *supervisor
 	changes    *configChanges
+	workers    []*llmworker.Worker
 	tallies    *client.Tallies
 	violations []string
 }
@@ -114,15 +115,21 @@
 	if err != nil {
 		return err
 	}
-	for i, worker := range slices.Concat(workers.Prefill, workers.Decode, workers.Plain, workers.Other) {
-		worker.FailRandomly(r.Spoil, r.Seed<<faultSeedShift+uint64(i), llmworker.AnswerFaults...)
-	}
+	r.workers = slices.Concat(workers.Prefill, workers.Decode, workers.Plain, workers.Other)
+	r.spoilAnswers(r.Spoil)
 	if err := r.changes.initialize(ctx); err != nil {
 		return err
 	}
 	return r.fleet.AwaitReady(ctx, r.Routers)
 }
 
+// spoilAnswers makes the workers break off or spoil a share of their answers from now on.
+func (r *run) spoilAnswers(share float64) {
+	for i, worker := range r.workers {
+		worker.FailRandomly(share, r.Seed<<faultSeedShift+uint64(i), llmworker.AnswerFaults...)
+	}
+}
+
 // faultSeedShift leaves each worker of a run a seed of its own.
 const faultSeedShift = 8
 
@@ -216,6 +223,7 @@
 // checkSettled waits until all machines are settled. It then sends a change, which must be acknowledged and take effect on
 // every router in time.
 func (r *run) checkSettled(ctx context.Context) {
+	r.spoilAnswers(0) // a router whose worker fails applies its configuration all the same
 	pause.For(ctx, settleTime)
 	r.supervisor.checkRunning(r.processes())
 	config, probe := withProbe(newConfig(r.changes.current.Version+1, 0))
@@ -227,25 +235,26 @@
 	}
 	acknowledged := time.Now()
 	for i, frontend := range r.fleet.FrontendAddresses() {
-		if !r.awaitServed(ctx, frontend, probe, acknowledged.Add(propagationTimeout), i) {
-			r.violations = append(r.violations, fmt.Sprintf("CONFIG: %s does not apply version %d within %v", frontend, config.Version, propagationTimeout))
+		if last, served := r.awaitServed(ctx, frontend, probe, acknowledged.Add(propagationTimeout), i); !served {
+			r.violations = append(r.violations, fmt.Sprintf("CONFIG: %s does not apply version %d within %v: status %d, %s",
+				frontend, config.Version, propagationTimeout, last.Status, last.Cause))
 		}
 	}
 	r.changes.confirm(ctx)
 }
 
-// awaitServed retries a request at one router until it is served. It reports false if a request that began after until has
-// failed or ctx is done.
-func (r *run) awaitServed(ctx context.Context, frontend string, kind *client.Kind, until time.Time, index int) bool {
+// awaitServed retries a request at one router until it is served. It returns the last result, and false if a request that began
+// after until has failed or ctx is done.
+func (r *run) awaitServed(ctx context.Context, frontend string, kind *client.Kind, until time.Time, index int) (client.Result, bool) {
 	group := &client.Group{Name: "probe", Judge: r.fleet.Judge, SelectRouter: func(string, uint64, int) string { return frontend }}
 	defer group.Close()
 	for attempt := 0; ; attempt++ {
 		result := group.Send(kind, fmt.Sprintf("probe-%d-%d", index, attempt), 1)
 		if result.Outcome <= client.Late {
-			return true
+			return result, true
 		}
 		if result.Began.After(until) || ctx.Err() != nil {
-			return false
+			return result, false
 		}
 		pause.For(ctx, probeInterval)
 	}
