Stand-ins: only an answer that is really spoilt excuses a lost request

A fault that spoils an answer was reported to the judge as soon as it was planned. At a plain worker, and in a stream of one event, it comes to nothing, and the judge excused the request from LOST all the same: a check that had become milder with these faults. It is reported when it takes effect now.

TestOnlyASpoiltAnswerCountsAsAborted fails on the code before.

--- a/internal/standin/llmworker/faults.go
+++ b/internal/standin/llmworker/faults.go
@@ -38,9 +38,10 @@
 // spoilsAnswer reports whether the fault spoils an answer within a sound framing.
 func (f Fault) spoilsAnswer() bool { return f >= FaultForeignEnd }
 
-// abortsAnswer reports whether the fault prevents a complete answer.
+// abortsAnswer reports whether the fault prevents a complete answer of every request. Faults that spoil an answer may come to
+// nothing; they are reported to the judge when they take effect.
 func (f Fault) abortsAnswer() bool {
-	return f == FaultTruncate || f == FaultMalformed || f == FaultSilent || f == FaultReset || f.spoilsAnswer()
+	return f == FaultTruncate || f == FaultMalformed || f == FaultSilent || f == FaultReset
 }
 
 // faultPlan holds the planned faults.
--- a/internal/standin/llmworker/model.go
+++ b/internal/standin/llmworker/model.go
@@ -154,6 +154,7 @@
 	s.responseWriter.Header().Set("Content-Type", "application/json")
 	answer := fmt.Sprintf(`{"KvHandle":%q,"Tokens":%d,"Version":1}`, event.Handle, event.Tokens)
 	if s.incoming.fault.spoilsAnswer() {
+		s.worker.config.Judge.AnswerAborted(s.incoming.id)
 		answer = spoiledPrefillAnswer(s.incoming.fault, answer)
 	}
 	_, _ = s.responseWriter.Write([]byte(answer))
--- a/internal/standin/llmworker/spoil.go
+++ b/internal/standin/llmworker/spoil.go
@@ -14,6 +14,7 @@
 
 // writeSpoiled writes what the planned fault puts in the place of an event. It reports whether the stream ends with it.
 func (s *stream) writeSpoiled(event string) (done bool) {
+	s.worker.config.Judge.AnswerAborted(s.incoming.id)
 	switch s.incoming.fault {
 	case FaultForeignEnd:
 		s.write(foreignBytes)
--- a/internal/standin/llmworker/worker_test.go
+++ b/internal/standin/llmworker/worker_test.go
@@ -275,6 +275,22 @@
 	}
 }
 
+// Guards against a lost request that the judge excuses although its worker has spoilt nothing.
+func TestOnlyASpoiltAnswerCountsAsAborted(t *testing.T) {
+	for _, test := range []struct {
+		model  *engine.Config
+		tokens string
+		lost   bool
+	}{{nil, "", true}, {withStage(engine.StageDecode), "10,1", true}, {withStage(engine.StageDecode), "10,8", false}} {
+		f := newFixture(t)
+		w := f.start(Config{Name: "w", Engine: test.model})
+		w.FailNext(FaultRepeatedEvent)
+		f.body(f.send(w, "a", "Token-Count", test.tokens))
+		f.judge.ConnectionCut(judge.Cut{ID: "a", Sent: time.Now(), Closed: time.Now(), DeadlineAt: time.Now().Add(time.Hour)})
+		require.Equal(t, test.lost, strings.Contains(f.judge.Report(), string(judge.LostRequest)), "%+v", test)
+	}
+}
+
 func TestRandomFaultsDependOnTheSeed(t *testing.T) {
 	draws := func(seed uint64) (faults []Fault) {
 		var w Worker
